--- /dev/null
+++ b/cmd/basilraild/main.go
@@ -0,0 +1,4 @@
+// Command basilraild is an entry instance.
+package main
+
+func main() {}
--- /dev/null
+++ b/internal/apierror/apierror.go
@@ -0,0 +1,111 @@
+// Package apierror is the one shape in which every refusal and failure is told
+// to callers and operators.
+package apierror
+
+import (
+	"encoding/json"
+	"fmt"
+	"math"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/basilrail/basilrail/internal/findings"
+)
+
+// Ran tells whether the request ran on a backend server.
+type Ran string
+
+// The three answers to "did it run?".
+const (
+	// NotRun means that no backend server executed any part of the request.
+	NotRun Ran = "not_run"
+	// MayHaveRun means that the request was sent and its fate is not known.
+	MayHaveRun Ran = "may_have_run"
+	// DidRun means that the request ran.
+	DidRun Ran = "ran"
+)
+
+// Code names a refusal for programs.
+type Code string
+
+// The codes. docs/API.md describes each.
+const (
+	CodeBadRequest       Code = "bad_request"
+	CodeUnauthenticated  Code = "unauthenticated"
+	CodeForbidden        Code = "forbidden"
+	CodeVersionForbidden Code = "version_not_allowed"
+	CodeVersionWithdrawn Code = "version_withdrawn"
+	CodeSessionInvalid   Code = "session_invalid"
+	CodeKeyMissing       Code = "idempotency_key_missing"
+	CodeKeyReused        Code = "idempotency_key_reused"
+	CodeInProgress       Code = "in_progress"
+	CodeTooLarge         Code = "too_large"
+	CodeRateLimited      Code = "rate_limited"
+	CodeOverloaded       Code = "overloaded"
+	CodeDeadline         Code = "deadline_unreachable"
+	CodeNoServer         Code = "no_backend_server"
+	CodeQuarantined      Code = "content_quarantined"
+	CodeSettingsStale    Code = "settings_stale"
+	CodeStoreUnavailable Code = "store_unavailable"
+	CodeDraining         Code = "draining"
+	CodeBackendFailed    Code = "backend_failed"
+	CodeInterrupted      Code = "interrupted"
+	CodeConflict         Code = "conflict"
+	CodeNotFound         Code = "not_found"
+	CodeInternal         Code = "internal"
+)
+
+// Error is a refusal or failure as the caller sees it.
+type Error struct {
+	// Status is the HTTP status.
+	Status int  `json:"-"`
+	Code   Code `json:"code"`
+	// Message is one sentence for a person; it never holds a prompt, answer, key or token.
+	Message   string `json:"message"`
+	Ran       Ran    `json:"ran"`
+	RequestID string `json:"request_id,omitempty"`
+	// RetryAfter is when to come back; zero means that coming back will not help.
+	RetryAfter time.Duration `json:"-"`
+	// RetryAfterSeconds is RetryAfter rounded up to whole seconds.
+	RetryAfterSeconds int `json:"retry_after_seconds,omitempty"`
+	// Findings lists every fault of a rejected input.
+	Findings findings.List `json:"findings,omitempty"`
+}
+
+// New makes an error that did not run and has no time to come back.
+func New(status int, code Code, format string, args ...any) *Error {
+	return &Error{Status: status, Code: code, Ran: NotRun, Message: fmt.Sprintf(format, args...)}
+}
+
+// Retry sets when to come back and returns the error.
+func (e *Error) Retry(after time.Duration) *Error {
+	e.RetryAfter = after
+	return e
+}
+
+// WithRan sets whether the request ran and returns the error.
+func (e *Error) WithRan(r Ran) *Error {
+	e.Ran = r
+	return e
+}
+
+// Error renders the code and message.
+func (e *Error) Error() string { return string(e.Code) + ": " + e.Message }
+
+// Body is the JSON document of a refusal: {"error": {...}}.
+type Body struct {
+	Error *Error `json:"error"`
+}
+
+// Write sends the error as a JSON body with its status and Retry-After header.
+func (e *Error) Write(w http.ResponseWriter) {
+	e.RetryAfterSeconds = int(math.Ceil(e.RetryAfter.Seconds()))
+	if e.RetryAfterSeconds > 0 {
+		w.Header().Set("Retry-After", strconv.Itoa(e.RetryAfterSeconds))
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(e.Status)
+	// The caller may be gone; there is nobody else to tell.
+	_ = json.NewEncoder(w).Encode(Body{Error: e})
+}
--- /dev/null
+++ b/internal/events/servers.go
@@ -0,0 +1,1 @@
+package events
--- /dev/null
+++ b/internal/platform/memtable/memtable.go
@@ -0,0 +1,192 @@
+// Package memtable is an in-memory table service with fault switches. The
+// stand-in platform serves it over HTTP and tests use it directly.
+package memtable
+
+import (
+	"context"
+	"sort"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/basilrail/basilrail/internal/platform"
+)
+
+// Faults is what goes wrong; the zero value is a table in good order.
+type Faults struct {
+	// Down refuses every call; nothing is applied.
+	Down bool `json:"down"`
+	// LoseAnswers applies writes and then loses the answer.
+	LoseAnswers bool `json:"lose_answers"`
+	// DropWrites loses the write before it is applied, with an unknown outcome.
+	DropWrites bool `json:"drop_writes"`
+	// Delay is added to every call, in nanoseconds when read from JSON.
+	Delay time.Duration `json:"delay"`
+}
+
+// Counts is how often the table was called.
+type Counts struct {
+	Commits int `json:"commits"`
+	Reads   int `json:"reads"`
+}
+
+// Table is a platform.Table in memory, safe for concurrent use.
+type Table struct {
+	mu       sync.Mutex
+	rows     map[string]platform.Row
+	revision uint64
+	faults   Faults
+	counts   Counts
+	// onCommit, if set, runs after each applied commit, before its answer.
+	onCommit func(platform.Txn)
+}
+
+var _ platform.Table = (*Table)(nil)
+
+// New makes an empty table.
+func New() *Table { return &Table{rows: make(map[string]platform.Row)} }
+
+// SetFaults replaces the fault switches.
+func (t *Table) SetFaults(f Faults) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.faults = f
+}
+
+// OnCommit sets a hook that runs after each applied commit and before its answer.
+func (t *Table) OnCommit(hook func(platform.Txn)) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.onCommit = hook
+}
+
+// Counts returns how often the table was called.
+func (t *Table) Counts() Counts {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.counts
+}
+
+// Commit applies the transaction, subject to the fault switches.
+func (t *Table) Commit(ctx context.Context, txn platform.Txn) platform.Result {
+	if err := t.wait(ctx); err != nil {
+		return platform.Result{Outcome: platform.OutcomeUnknown}
+	}
+	result, hook := t.commit(txn)
+	if hook != nil {
+		hook(txn)
+	}
+	return result
+}
+
+func (t *Table) commit(txn platform.Txn) (platform.Result, func(platform.Txn)) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.counts.Commits++
+	switch {
+	case t.faults.Down:
+		return platform.Result{Outcome: platform.OutcomeNotApplied}, nil
+	case t.faults.DropWrites:
+		return platform.Result{Outcome: platform.OutcomeUnknown}, nil
+	}
+	result := t.apply(txn)
+	if t.faults.LoseAnswers {
+		return platform.Result{Outcome: platform.OutcomeUnknown}, t.onCommit
+	}
+	if result.Outcome != platform.OutcomeCommitted {
+		return result, nil
+	}
+	return result, t.onCommit
+}
+
+func (t *Table) apply(txn platform.Txn) platform.Result {
+	var conflicts []platform.Row
+	for _, c := range txn.Conditions {
+		if row := t.rows[c.Key]; row.Revision != c.Revision {
+			row.Key = c.Key
+			conflicts = append(conflicts, row)
+		}
+	}
+	if len(conflicts) > 0 {
+		return platform.Result{Outcome: platform.OutcomeConflict, Conflicts: conflicts}
+	}
+	t.revision++
+	for _, m := range txn.Mutations {
+		if m.Delete {
+			delete(t.rows, m.Key)
+			continue
+		}
+		t.rows[m.Key] = platform.Row{Key: m.Key, Value: m.Value, Revision: t.revision}
+	}
+	return platform.Result{Outcome: platform.OutcomeCommitted, Revision: t.revision}
+}
+
+// Get reads rows by key.
+func (t *Table) Get(ctx context.Context, keys ...string) ([]platform.Row, error) {
+	if err := t.read(ctx); err != nil {
+		return nil, err
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var rows []platform.Row
+	for _, key := range keys {
+		if row, ok := t.rows[key]; ok {
+			rows = append(rows, row)
+		}
+	}
+	return rows, nil
+}
+
+// Scan reads rows by prefix in key order.
+func (t *Table) Scan(ctx context.Context, prefix, after string, limit int) ([]platform.Row, error) {
+	if err := t.read(ctx); err != nil {
+		return nil, err
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var rows []platform.Row
+	for key, row := range t.rows {
+		if strings.HasPrefix(key, prefix) && key > after {
+			rows = append(rows, row)
+		}
+	}
+	sort.Slice(rows, func(i, j int) bool { return rows[i].Key < rows[j].Key })
+	if limit > 0 && len(rows) > limit {
+		rows = rows[:limit]
+	}
+	return rows, nil
+}
+
+// read counts a read and fails it while the table is down.
+func (t *Table) read(ctx context.Context) error {
+	if err := t.wait(ctx); err != nil {
+		return errors.Wrap(platform.ErrUnavailable, err.Error())
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.counts.Reads++
+	if t.faults.Down {
+		return platform.ErrUnavailable
+	}
+	return nil
+}
+
+// wait sleeps for the configured delay, or until the context ends.
+func (t *Table) wait(ctx context.Context) error {
+	t.mu.Lock()
+	delay := t.faults.Delay
+	t.mu.Unlock()
+	if delay <= 0 {
+		return ctx.Err()
+	}
+	timer := time.NewTimer(delay)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
