Send each attempt at most once, and know what became of it

Cause: net/http resends a request that carries an Idempotency-Key when a kept connection breaks before the answer, so a booking could run twice without this program having decided it. Ruled out: dropping the key (servers that honour it need it); closing every connection after a call (a dial per request). Before: TestDoNeverSendsTwiceOnAKeptConnection with replayable bodies printed 'expected: 2, actual: 3' requests received, with and without a body. Conclusion: bodies are handed over in a form that the transport can't replay; every retry is a decision of this program.

--- /dev/null
+++ b/internal/backend/backend_test.go
@@ -0,0 +1,199 @@
+package backend
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+
+	"github.com/pkg/errors"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/basilrail/basilrail/internal/apierror"
+	"github.com/basilrail/basilrail/internal/datastore"
+	"github.com/basilrail/basilrail/internal/settings"
+)
+
+const testAnswerLimit = 1 << 10
+
+func serve(t *testing.T, h http.HandlerFunc) (*Client, *datastore.Server) {
+	t.Helper()
+	server := httptest.NewServer(h)
+	t.Cleanup(server.Close)
+	address := strings.TrimPrefix(server.URL, "http://")
+	return NewClient(&http.Transport{}, "http", testAnswerLimit), serverAt(address)
+}
+
+func serverAt(address string) *datastore.Server {
+	store := datastore.New()
+	tree := settings.Tree{Servers: map[string]settings.Server{"s1": {Address: address}}}
+	store.SetSettings(settings.Compile(1, tree))
+	return store.Snapshot().Servers["s1"]
+}
+
+func breakConnection(w http.ResponseWriter) {
+	conn, _, err := w.(http.Hijacker).Hijack()
+	if err == nil {
+		conn.Close()
+	}
+}
+
+func TestDoTellsWhatBecameOfTheAttempt(t *testing.T) {
+	tests := []struct {
+		desc    string
+		handler http.HandlerFunc
+		fate    Fate
+		ran     apierror.Ran
+	}{
+		{
+			desc: "a proven refusal did not run",
+			handler: func(w http.ResponseWriter, _ *http.Request) {
+				w.Header().Set(HeaderNotRun, "true")
+				w.WriteHeader(http.StatusServiceUnavailable)
+			},
+			fate: Refused, ran: apierror.NotRun,
+		},
+		{
+			desc:    "a connection broken after sending may have run",
+			handler: func(w http.ResponseWriter, _ *http.Request) { breakConnection(w) },
+			fate:    Broken, ran: apierror.MayHaveRun,
+		},
+		{
+			desc: "an answer to another attempt is not passed on",
+			handler: func(w http.ResponseWriter, _ *http.Request) {
+				w.Header().Set(HeaderAttemptID, "another")
+				fmt.Fprint(w, "somebody else's answer")
+			},
+			fate: Broken, ran: apierror.MayHaveRun,
+		},
+		{
+			desc: "an answer cut short is not passed on",
+			handler: func(w http.ResponseWriter, r *http.Request) {
+				w.Header().Set(HeaderAttemptID, r.Header.Get(HeaderAttemptID))
+				w.Header().Set("Content-Length", "100")
+				fmt.Fprint(w, "half")
+			},
+			fate: Broken, ran: apierror.MayHaveRun,
+		},
+		{
+			desc: "an answer over the limit is not passed on",
+			handler: func(w http.ResponseWriter, r *http.Request) {
+				w.Header().Set(HeaderAttemptID, r.Header.Get(HeaderAttemptID))
+				fmt.Fprint(w, strings.Repeat("x", testAnswerLimit+1))
+			},
+			fate: Broken, ran: apierror.MayHaveRun,
+		},
+	}
+	for _, tt := range tests {
+		t.Run(tt.desc, func(t *testing.T) {
+			client, server := serve(t, tt.handler)
+			_, err := client.Do(context.Background(), Call{AttemptID: "a1", Server: server, Method: "POST", Path: "/x"})
+			var failure *Error
+			require.ErrorAs(t, err, &failure)
+			assert.Equal(t, tt.fate, failure.Fate)
+			assert.Equal(t, tt.ran, failure.Fate.Ran())
+		})
+	}
+}
+
+func TestDoKnowsThatNothingWasSent(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	address := listener.Addr().String()
+	listener.Close()
+
+	client := NewClient(&http.Transport{}, "http", testAnswerLimit)
+	_, err = client.Do(context.Background(), Call{AttemptID: "a1", Server: serverAt(address), Method: "POST", Path: "/x"})
+	var failure *Error
+	require.ErrorAs(t, err, &failure)
+	assert.Equal(t, NotSent, failure.Fate)
+}
+
+// net/http resends a request with an Idempotency-Key when a kept connection
+// breaks before the answer. A booking would run twice.
+func TestDoNeverSendsTwiceOnAKeptConnection(t *testing.T) {
+	var received atomic.Int32
+	client, server := serve(t, func(w http.ResponseWriter, r *http.Request) {
+		if received.Add(1) > 1 {
+			breakConnection(w)
+			return
+		}
+		w.Header().Set(HeaderAttemptID, r.Header.Get(HeaderAttemptID))
+	})
+	bodies := map[string][]byte{"with a body": []byte("booking"), "with an empty body": nil}
+	for desc, body := range bodies {
+		t.Run(desc, func(t *testing.T) {
+			received.Store(0)
+			call := Call{
+				AttemptID: "a1", Server: server, Method: "POST", Path: "/bookings",
+				Header: http.Header{"Idempotency-Key": []string{"k"}}, Body: body,
+			}
+			_, err := client.Do(context.Background(), call)
+			require.NoError(t, err, "the first call keeps the connection")
+			_, err = client.Do(context.Background(), call)
+			require.Error(t, err)
+			assert.Equal(t, int32(2), received.Load(), "requests the server received")
+		})
+	}
+}
+
+func event(id string, seq int, text string) string {
+	return fmt.Sprintf("data: {\"id\":%q,\"sequence\":%d,\"choices\":[{\"delta\":{\"content\":%q}}]}\n\n", id, seq, text)
+}
+
+func TestStreamPassesOnOnlyItsOwnChunksInOrder(t *testing.T) {
+	tests := []struct {
+		desc    string
+		body    string
+		chunks  int
+		dropped int
+		whole   bool
+	}{
+		{desc: "whole", body: event("a1", 0, "x") + event("a1", 1, "y") + "data: [DONE]\n\n", chunks: 2, whole: true},
+		{desc: "doubled chunk", body: event("a1", 0, "x") + event("a1", 0, "x") + "data: [DONE]\n\n", chunks: 1, dropped: 1, whole: true},
+		{desc: "crossed chunk", body: event("a2", 0, "z") + event("a1", 0, "x") + "data: [DONE]\n\n", chunks: 1, dropped: 1, whole: true},
+		{desc: "cut", body: event("a1", 0, "x"), chunks: 1},
+		{desc: "gap", body: event("a1", 0, "x") + event("a1", 2, "z") + "data: [DONE]\n\n", chunks: 1},
+		{desc: "garbled", body: event("a1", 0, "x") + "data: {\n\n", chunks: 1},
+	}
+	for _, tt := range tests {
+		t.Run(tt.desc, func(t *testing.T) {
+			client, server := serve(t, func(w http.ResponseWriter, r *http.Request) {
+				w.Header().Set(HeaderAttemptID, r.Header.Get(HeaderAttemptID))
+				fmt.Fprint(w, tt.body)
+			})
+			stream, err := client.Stream(context.Background(), Chat{AttemptID: "a1", Server: server})
+			require.NoError(t, err)
+			defer stream.Close()
+			chunks, err := drain(stream)
+			assert.Equal(t, tt.chunks, chunks)
+			assert.Equal(t, tt.dropped, stream.Dropped)
+			assert.Equal(t, tt.whole, errors.Is(err, ErrStreamEnd), "ended with %v", err)
+		})
+	}
+}
+
+func drain(s *Stream) (chunks int, err error) {
+	for {
+		if _, err = s.Next(); err != nil {
+			return chunks, err
+		}
+		chunks++
+	}
+}
+
+func FuzzDecodeChunk(f *testing.F) {
+	f.Add([]byte(`{"id":"a1","sequence":0,"choices":[{"delta":{"content":"x"}}]}`))
+	f.Add([]byte(`{"id":"a1","usage":{"prompt_tokens":1}}`))
+	f.Add([]byte(`[]`))
+	f.Add([]byte(`{"sequence":-1}`))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		chunk, err := DecodeChunk(data)
+		assert.Equal(t, err == nil, chunk != nil)
+	})
+}
--- /dev/null
+++ b/internal/backend/chat.go
@@ -0,0 +1,213 @@
+package backend
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"net/http"
+	"strconv"
+
+	"github.com/pkg/errors"
+
+	"github.com/basilrail/basilrail/internal/datastore"
+)
+
+const (
+	chatPath = "/v1/chat/completions"
+	// maxEventBytes bounds one line of an event stream.
+	maxEventBytes = 1 << 20
+	// readBufferBytes is the first size of the stream's read buffer.
+	readBufferBytes = 4 << 10
+)
+
+// Usage is the number of tokens a model read and wrote.
+type Usage struct {
+	PromptTokens     int `json:"prompt_tokens"`
+	CompletionTokens int `json:"completion_tokens"`
+	TotalTokens      int `json:"total_tokens"`
+}
+
+// Chat is one attempt at a chat completion.
+type Chat struct {
+	AttemptID string
+	Server    *datastore.Server
+	// Body is the request's JSON, with the version as its model.
+	Body []byte
+	// Priority is the engine's priority, lower is sooner.
+	Priority int
+	// Resume continues a cut stream; nil starts anew.
+	Resume *ResumePoint
+}
+
+// ResumePoint is how far an earlier attempt's stream came.
+type ResumePoint struct {
+	AttemptID string
+	// Offset is the number of chunks received.
+	Offset int
+}
+
+// Completion is a whole chat answer. The raw parts are passed on unread.
+type Completion struct {
+	ID      string            `json:"id"`
+	Choices []json.RawMessage `json:"choices"`
+	Usage   Usage             `json:"usage"`
+}
+
+// Chunk is one event of a streamed answer.
+type Chunk struct {
+	// ID is the attempt's id.
+	ID string `json:"id"`
+	// Sequence counts the stream's chunks from zero.
+	Sequence int               `json:"sequence"`
+	Choices  []json.RawMessage `json:"choices"`
+	// Usage stands in the last chunk only.
+	Usage *Usage `json:"usage,omitempty"`
+}
+
+func (ch Chat) call() Call {
+	header := http.Header{"Content-Type": []string{"application/json"}}
+	header.Set(HeaderPriority, strconv.Itoa(ch.Priority))
+	if ch.Resume != nil {
+		header.Set(HeaderResumeAttempt, ch.Resume.AttemptID)
+		header.Set(HeaderResumeOffset, strconv.Itoa(ch.Resume.Offset))
+	}
+	return Call{
+		AttemptID: ch.AttemptID,
+		Server:    ch.Server,
+		Method:    http.MethodPost,
+		Path:      chatPath,
+		Header:    header,
+		Body:      ch.Body,
+	}
+}
+
+// Complete sends a chat request and reads the whole answer.
+func (c *Client) Complete(ctx context.Context, chat Chat) (*Completion, error) {
+	answer, err := c.Do(ctx, chat.call())
+	if err != nil {
+		return nil, err
+	}
+	if answer.Status != http.StatusOK {
+		return nil, failed(chat.Server.ID, answer.Status)
+	}
+	var completion Completion
+	if err := json.Unmarshal(answer.Body, &completion); err != nil {
+		return nil, &Error{Fate: Broken, Server: chat.Server.ID, cause: errors.Wrap(err, "decode answer")}
+	}
+	if completion.ID != chat.AttemptID {
+		return nil, &Error{Fate: Broken, Server: chat.Server.ID, cause: ErrAnswerMismatch}
+	}
+	return &completion, nil
+}
+
+func failed(server string, status int) *Error {
+	return &Error{Fate: Answered, Server: server, Status: status, cause: errors.Errorf("answered with status %d", status)}
+}
+
+// Stream is a streamed answer. Close it when done; closing cancels the work.
+type Stream struct {
+	ctx    context.Context
+	cancel context.CancelFunc
+	resp   *http.Response
+	lines  *bufio.Scanner
+	server string
+	id     string
+	next   int
+	// Dropped counts the chunks left out as crossed or doubled.
+	Dropped int
+}
+
+// ErrStreamEnd is returned by Next after the terminal event.
+var ErrStreamEnd = errors.New("stream ended")
+
+// ErrStreamCut is the cause of an *Error for a stream that ended without its terminal event.
+var ErrStreamCut = errors.New("stream ended without its terminal event")
+
+// Stream sends a chat request whose answer is streamed.
+func (c *Client) Stream(ctx context.Context, chat Chat) (*Stream, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	resp, err := c.do(ctx, chat.call())
+	if err != nil {
+		cancel()
+		return nil, err
+	}
+	if resp.StatusCode != http.StatusOK {
+		resp.Body.Close()
+		cancel()
+		return nil, failed(chat.Server.ID, resp.StatusCode)
+	}
+	return newStream(ctx, cancel, resp, chat), nil
+}
+
+func newStream(ctx context.Context, cancel context.CancelFunc, resp *http.Response, chat Chat) *Stream {
+	lines := bufio.NewScanner(resp.Body)
+	lines.Buffer(make([]byte, 0, readBufferBytes), maxEventBytes)
+	s := &Stream{ctx: ctx, cancel: cancel, resp: resp, lines: lines, server: chat.Server.ID, id: chat.AttemptID}
+	if chat.Resume != nil {
+		s.next = chat.Resume.Offset
+	}
+	return s
+}
+
+// Next returns the next chunk in order, ErrStreamEnd after the terminal event,
+// or an *Error with fate Broken. Chunks of another attempt and doubled chunks
+// are dropped; a gap breaks the stream.
+func (s *Stream) Next() (*Chunk, error) {
+	for s.lines.Scan() {
+		data, ok := bytes.CutPrefix(s.lines.Bytes(), []byte("data: "))
+		if !ok {
+			continue
+		}
+		if string(data) == "[DONE]" {
+			return nil, ErrStreamEnd
+		}
+		chunk, err := s.decode(data)
+		if err != nil {
+			return nil, err
+		}
+		if chunk != nil {
+			return chunk, nil
+		}
+	}
+	cause := s.lines.Err()
+	if cause == nil {
+		cause = ErrStreamCut
+	}
+	return nil, transportError(s.ctx, s.server, true, cause)
+}
+
+// decode reads one event; a nil chunk is one to leave out.
+func (s *Stream) decode(data []byte) (*Chunk, error) {
+	chunk, err := DecodeChunk(data)
+	if err != nil {
+		return nil, &Error{Fate: Broken, Server: s.server, cause: err}
+	}
+	if chunk.ID != s.id || chunk.Sequence < s.next {
+		s.Dropped++
+		return nil, nil
+	}
+	if chunk.Sequence > s.next {
+		return nil, &Error{Fate: Broken, Server: s.server, cause: errors.Errorf("chunk %d missing", s.next)}
+	}
+	s.next++
+	return chunk, nil
+}
+
+// DecodeChunk reads the JSON of one stream event.
+func DecodeChunk(data []byte) (*Chunk, error) {
+	chunk := &Chunk{}
+	if err := json.Unmarshal(data, chunk); err != nil {
+		return nil, errors.Wrap(err, "decode stream event")
+	}
+	return chunk, nil
+}
+
+// Received returns the number of chunks received in order, the offset to resume from.
+func (s *Stream) Received() int { return s.next }
+
+// Close ends the stream and cancels what the server still does for it.
+func (s *Stream) Close() {
+	s.cancel()
+	s.resp.Body.Close()
+}
--- /dev/null
+++ b/internal/backend/client.go
@@ -0,0 +1,175 @@
+// Package backend sends single attempts to backend servers and tells exactly
+// what became of each: not sent, refused, broken or answered.
+package backend
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"net/http/httptrace"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/basilrail/basilrail/internal/datastore"
+)
+
+// Headers between an entry instance and a backend server.
+const (
+	// HeaderAttemptID names the attempt; the server echoes it.
+	HeaderAttemptID = "X-Attempt-Id"
+	// HeaderNotRun is "true" on a refusal of work that did not run.
+	HeaderNotRun = "X-Not-Run"
+	// HeaderLeaving is "true" when the server is leaving.
+	HeaderLeaving = "X-Leaving"
+	// HeaderPriority carries the engine's priority, lower is sooner.
+	HeaderPriority = "X-Priority"
+	// HeaderResumeAttempt and HeaderResumeOffset continue a cut stream.
+	HeaderResumeAttempt = "X-Resume-Attempt"
+	HeaderResumeOffset  = "X-Resume-Offset"
+)
+
+// ErrAnswerMismatch is returned for an answer to another attempt than the one sent.
+var ErrAnswerMismatch = errors.New("answer belongs to another attempt")
+
+// ErrAnswerTooLarge is returned for an answer over the size limit.
+var ErrAnswerTooLarge = errors.New("answer exceeds the size limit")
+
+// Client sends attempts. It never sends a request twice by itself.
+type Client struct {
+	http *http.Client
+	// scheme is "http" or "https".
+	scheme string
+	// maxAnswer bounds a whole answer, in bytes.
+	maxAnswer int64
+}
+
+// NewClient makes a client over a transport. The transport's own retries are
+// kept off by sending bodies that it can't replay.
+func NewClient(transport http.RoundTripper, scheme string, maxAnswerBytes int64) *Client {
+	return &Client{
+		http: &http.Client{
+			Transport: transport,
+			// A redirect would send the request a second time.
+			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+		},
+		scheme:    scheme,
+		maxAnswer: maxAnswerBytes,
+	}
+}
+
+// Call is one attempt.
+type Call struct {
+	AttemptID string
+	Server    *datastore.Server
+	Method    string
+	// Path is the path and query on the server.
+	Path   string
+	Header http.Header
+	Body   []byte
+}
+
+// unreplayableBody hides the bytes from net/http, which would otherwise resend
+// a request that carries an Idempotency-Key after a connection broke.
+type unreplayableBody struct{ io.Reader }
+
+func (unreplayableBody) Close() error { return nil }
+
+// do sends the call and returns a successful response or an *Error.
+func (c *Client) do(ctx context.Context, call Call) (*http.Response, error) {
+	var sent atomic.Bool
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(httptrace.GotConnInfo) { sent.Store(true) },
+	})
+	req, err := c.newRequest(ctx, call)
+	if err != nil {
+		return nil, &Error{Fate: NotSent, Server: call.Server.ID, cause: err}
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return nil, transportError(ctx, call.Server.ID, sent.Load(), err)
+	}
+	if err := checkResponse(resp, call); err != nil {
+		resp.Body.Close()
+		return nil, err
+	}
+	return resp, nil
+}
+
+func (c *Client) newRequest(ctx context.Context, call Call) (*http.Request, error) {
+	url := c.scheme + "://" + call.Server.Settings.Address + call.Path
+	req, err := http.NewRequestWithContext(ctx, call.Method, url, unreplayableBody{bytes.NewReader(call.Body)})
+	if err != nil {
+		return nil, errors.Wrap(err, "build request")
+	}
+	req.ContentLength = int64(len(call.Body))
+	for name, values := range call.Header {
+		req.Header[name] = values
+	}
+	req.Header.Set(HeaderAttemptID, call.AttemptID)
+	return req, nil
+}
+
+// transportError classifies an attempt without a response.
+func transportError(ctx context.Context, server string, sent bool, err error) *Error {
+	if !sent {
+		return &Error{Fate: NotSent, Server: server, cause: err}
+	}
+	// An attempt that this side gave up on says nothing of the server.
+	crashed := ctx.Err() == nil
+	return &Error{Fate: Broken, Server: server, Crashed: crashed, cause: err}
+}
+
+// checkResponse turns a refusal, a failure or a crossed answer into an *Error.
+func checkResponse(resp *http.Response, call Call) error {
+	if resp.Header.Get(HeaderNotRun) == "true" {
+		return &Error{
+			Fate:       Refused,
+			Server:     call.Server.ID,
+			Status:     resp.StatusCode,
+			Leaving:    resp.Header.Get(HeaderLeaving) == "true",
+			RetryAfter: retryAfter(resp.Header),
+			cause:      errors.New("refused by the backend server"),
+		}
+	}
+	if resp.Header.Get(HeaderAttemptID) != call.AttemptID {
+		return &Error{Fate: Broken, Server: call.Server.ID, Status: resp.StatusCode, cause: ErrAnswerMismatch}
+	}
+	return nil
+}
+
+func retryAfter(h http.Header) time.Duration {
+	seconds, err := strconv.Atoi(h.Get("Retry-After"))
+	if err != nil || seconds < 0 {
+		return 0
+	}
+	return time.Duration(seconds) * time.Second
+}
+
+// Answer is a whole answer of a backend server.
+type Answer struct {
+	Status int
+	Header http.Header
+	Body   []byte
+}
+
+// Do sends the call and reads the whole answer. An answer that breaks midway is
+// an *Error with fate Broken.
+func (c *Client) Do(ctx context.Context, call Call) (*Answer, error) {
+	resp, err := c.do(ctx, call)
+	if err != nil {
+		return nil, err
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(io.LimitReader(resp.Body, c.maxAnswer+1))
+	if err != nil {
+		return nil, transportError(ctx, call.Server.ID, true, err)
+	}
+	if int64(len(body)) > c.maxAnswer {
+		return nil, &Error{Fate: Broken, Server: call.Server.ID, Status: resp.StatusCode, cause: ErrAnswerTooLarge}
+	}
+	return &Answer{Status: resp.StatusCode, Header: resp.Header, Body: body}, nil
+}
--- /dev/null
+++ b/internal/gateway/chatrequest.go
@@ -0,0 +1,118 @@
+package gateway
+
+import (
+	"crypto/sha256"
+	"encoding/json"
+	"strings"
+
+	"github.com/basilrail/basilrail/internal/findings"
+	"github.com/basilrail/basilrail/internal/settings"
+)
+
+const (
+	// bytesPerToken estimates tokens from text before a model has counted them.
+	bytesPerToken = 4
+	// defaultOutputTokens is expected where the caller sets no max_tokens.
+	defaultOutputTokens = 256
+	// autoModel lets the task's cascade choose the model.
+	autoModel = "auto"
+)
+
+// rawObject is a JSON object whose fields are passed on as they came.
+type rawObject map[string]json.RawMessage
+
+// chatMessage is one message of a conversation.
+type chatMessage struct {
+	Role    string          `json:"role"`
+	Content json.RawMessage `json:"content"`
+}
+
+// chatRequest is a caller's chat completion request.
+type chatRequest struct {
+	raw      rawObject
+	model    string
+	stream   bool
+	messages []chatMessage
+	// maxTokens is the caller's bound on the answer, or zero.
+	maxTokens int
+}
+
+// parseChatRequest reads a body; every fault is found at once.
+func parseChatRequest(body []byte) (*chatRequest, findings.List) {
+	var faults findings.List
+	req := &chatRequest{}
+	if err := json.Unmarshal(body, &req.raw); err != nil {
+		faults.Add("body", "not a JSON object: %v", err)
+		return nil, faults
+	}
+	req.decodeField(&faults, "model", &req.model)
+	req.decodeField(&faults, "stream", &req.stream)
+	req.decodeField(&faults, "messages", &req.messages)
+	req.decodeField(&faults, "max_tokens", &req.maxTokens)
+	req.check(&faults)
+	return req, faults
+}
+
+func (r *chatRequest) decodeField(faults *findings.List, name string, into any) {
+	raw, ok := r.raw[name]
+	if !ok {
+		return
+	}
+	if err := json.Unmarshal(raw, into); err != nil {
+		faults.Add(name, "wrong type: %v", err)
+	}
+}
+
+func (r *chatRequest) check(faults *findings.List) {
+	if _, ok := r.raw["messages"]; !ok {
+		faults.Add("messages", "missing")
+	} else if len(r.messages) == 0 && len(*faults) == 0 {
+		faults.Add("messages", "empty")
+	}
+	if r.maxTokens < 0 {
+		faults.Add("max_tokens", "must not be negative")
+	}
+	if r.model == "" {
+		r.model = autoModel
+	}
+}
+
+// prompt is the conversation's text, for ratings and prefix affinity.
+func (r *chatRequest) prompt() string {
+	var b strings.Builder
+	for _, m := range r.messages {
+		b.WriteString(m.Role)
+		b.WriteString(": ")
+		b.Write(m.Content)
+		b.WriteByte('\n')
+	}
+	return b.String()
+}
+
+// bodyFor returns the request's JSON with the version as its model.
+func (r *chatRequest) bodyFor(ref settings.VersionRef) ([]byte, error) {
+	out := make(rawObject, len(r.raw)+1)
+	for name, value := range r.raw {
+		out[name] = value
+	}
+	model, err := json.Marshal(ref.String())
+	if err != nil {
+		return nil, err
+	}
+	out["model"] = model
+	return json.Marshal(out)
+}
+
+// estimate is the expected cost in tokens.
+func (r *chatRequest) estimate() (input, output int) {
+	output = r.maxTokens
+	if output == 0 {
+		output = defaultOutputTokens
+	}
+	return len(r.prompt())/bytesPerToken + 1, output
+}
+
+// fingerprint identifies the content, whoever sends it and however often.
+func (r *chatRequest) fingerprint() [sha256.Size]byte {
+	return sha256.Sum256([]byte(r.prompt()))
+}
