Add the platform client, its HTTP stand-in and the membership view

A write that never got a connection is not applied; one that broke after it got one is unknown, and the stand-in breaks the connection to lose an answer. The membership list can lag by a switch, and the view keeps the last good list in an outage.

--- /dev/null
+++ b/internal/membership/membership_test.go
@@ -0,0 +1,80 @@
+package membership
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/basilrail/basilrail/internal/platform"
+)
+
+type fakeList struct {
+	mu    sync.Mutex
+	down  bool
+	lines map[string]platform.Member
+}
+
+func (f *fakeList) List(context.Context) ([]platform.Member, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.down {
+		return nil, platform.ErrUnavailable
+	}
+	var list []platform.Member
+	for _, m := range f.lines {
+		list = append(list, m)
+	}
+	return list, nil
+}
+
+func (f *fakeList) Register(_ context.Context, m platform.Member) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.lines[m.ID] = m
+	return nil
+}
+
+func (f *fakeList) Deregister(_ context.Context, id string) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	delete(f.lines, id)
+	return nil
+}
+
+func TestLastViewStaysInAnOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		list := &fakeList{lines: map[string]platform.Member{"s1": {ID: "s1", Kind: platform.MemberServer}}}
+		self := platform.Member{ID: "e1", Kind: platform.MemberEntry}
+		w := New(list, self, rand.New(rand.NewPCG(1, 2)), nil)
+		ctx, cancel := context.WithCancel(t.Context())
+		go w.Run(ctx)
+		time.Sleep(3 * time.Second)
+		require.Len(t, w.View().Entries, 1)
+		require.Len(t, w.View().Servers, 1)
+
+		list.mu.Lock()
+		list.down = true
+		list.mu.Unlock()
+		time.Sleep(time.Minute)
+		require.Len(t, w.View().Servers, 1)
+		require.GreaterOrEqual(t, time.Since(w.View().ReadAt), 58*time.Second)
+
+		require.NoError(t, w.SetLeaving(ctx))
+		require.True(t, list.lines["e1"].Leaving)
+		cancel()
+		synctest.Wait()
+	})
+}
+
+func TestIntervalKeepsTheFleetWithinItsPolls(t *testing.T) {
+	for _, entries := range []int{1, 9, 200, 1200} {
+		slowest := interval(entries, 0)
+		require.LessOrEqual(t, float64(entries)/slowest.Seconds(), fleetPollsPerSecond*1.26)
+		require.GreaterOrEqual(t, slowest, 800*time.Millisecond)
+	}
+}
--- a/internal/platform/memtable/memtable.go
+++ b/internal/platform/memtable/memtable.go
@@ -144,6 +144,18 @@
 	if err := t.read(ctx); err != nil {
 		return nil, err
 	}
+	rows := t.sorted(prefix, after)
+	if limit > 0 && len(rows) > limit {
+		rows = rows[:limit]
+	}
+	return rows, nil
+}
+
+// Rows returns the rows with a prefix in key order, whatever the fault switches
+// say, and counts no read.
+func (t *Table) Rows(prefix string) []platform.Row { return t.sorted(prefix, "") }
+
+func (t *Table) sorted(prefix, after string) []platform.Row {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var rows []platform.Row
@@ -153,10 +165,7 @@
 		}
 	}
 	sort.Slice(rows, func(i, j int) bool { return rows[i].Key < rows[j].Key })
-	if limit > 0 && len(rows) > limit {
-		rows = rows[:limit]
-	}
-	return rows, nil
+	return rows
 }
 
 // read counts a read and fails it while the table is down.
--- /dev/null
+++ b/internal/standin/platformserver/server.go
@@ -0,0 +1,199 @@
+// Package platformserver is an HTTP stand-in of the platform: the table
+// service, and a membership list that can lag. Fault switches stand under
+// /faults and the rows can be read under /rows.
+package platformserver
+
+import (
+	"encoding/json"
+	"net/http"
+	"net/url"
+	"sync"
+	"time"
+
+	"github.com/go-chi/chi/v5"
+
+	"github.com/basilrail/basilrail/internal/platform"
+	"github.com/basilrail/basilrail/internal/platform/httpplatform"
+	"github.com/basilrail/basilrail/internal/platform/memtable"
+)
+
+// maxBodyBytes bounds a request body.
+const maxBodyBytes = 64 << 20
+
+// MemberFaults is what goes wrong with the membership list.
+type MemberFaults struct {
+	// Down refuses every call.
+	Down bool `json:"down"`
+	// Lag is how old the returned list is, in nanoseconds when read from JSON.
+	Lag time.Duration `json:"lag"`
+}
+
+// Faults is what goes wrong; the zero value is a platform in good order.
+type Faults struct {
+	Table   memtable.Faults `json:"table"`
+	Members MemberFaults    `json:"members"`
+}
+
+// Server is the stand-in. It is safe for concurrent use.
+type Server struct {
+	table   *memtable.Table
+	members *members
+
+	mu     sync.Mutex
+	faults Faults
+}
+
+// New makes a stand-in with an empty table and list.
+func New() *Server {
+	return &Server{table: memtable.New(), members: newMembers()}
+}
+
+// Table is the table behind the stand-in, for tests in the same process.
+func (s *Server) Table() *memtable.Table { return s.table }
+
+// SetFaults replaces the fault switches.
+func (s *Server) SetFaults(f Faults) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.faults = f
+	s.table.SetFaults(f.Table)
+}
+
+// Faults returns the fault switches.
+func (s *Server) Faults() Faults {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.faults
+}
+
+// Handler serves the platform's interface and the switches.
+func (s *Server) Handler() http.Handler {
+	r := chi.NewRouter()
+	r.Post(httpplatform.PathCommit, s.commit)
+	r.Post(httpplatform.PathGet, s.get)
+	r.Post(httpplatform.PathScan, s.scan)
+	r.Route(httpplatform.PathMembers, func(r chi.Router) {
+		r.Use(s.refuseWhileDown)
+		r.Get("/", s.list)
+		r.Put("/{id}", s.register)
+		r.Delete("/{id}", s.deregister)
+	})
+	r.Get("/faults", s.getFaults)
+	r.Put("/faults", s.putFaults)
+	r.Get("/rows", s.rows)
+	r.Get("/counts", s.counts)
+	return r
+}
+
+func (s *Server) commit(w http.ResponseWriter, r *http.Request) {
+	var txn platform.Txn
+	if !decode(w, r, &txn) {
+		return
+	}
+	result := s.table.Commit(r.Context(), txn)
+	switch result.Outcome {
+	case platform.OutcomeUnknown:
+		// A lost answer is a connection that breaks without one.
+		panic(http.ErrAbortHandler)
+	case platform.OutcomeNotApplied:
+		w.WriteHeader(http.StatusServiceUnavailable)
+	default:
+		encode(w, result)
+	}
+}
+
+func (s *Server) get(w http.ResponseWriter, r *http.Request) {
+	var req httpplatform.GetRequest
+	if !decode(w, r, &req) {
+		return
+	}
+	rows, err := s.table.Get(r.Context(), req.Keys...)
+	answerRows(w, rows, err)
+}
+
+func (s *Server) scan(w http.ResponseWriter, r *http.Request) {
+	var req httpplatform.ScanRequest
+	if !decode(w, r, &req) {
+		return
+	}
+	rows, err := s.table.Scan(r.Context(), req.Prefix, req.After, req.Limit)
+	answerRows(w, rows, err)
+}
+
+// rows shows the table to a person, whatever the fault switches say.
+func (s *Server) rows(w http.ResponseWriter, r *http.Request) {
+	answerRows(w, s.table.Rows(r.URL.Query().Get("prefix")), nil)
+}
+
+func (s *Server) counts(w http.ResponseWriter, _ *http.Request) { encode(w, s.table.Counts()) }
+
+func answerRows(w http.ResponseWriter, rows []platform.Row, err error) {
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusServiceUnavailable)
+		return
+	}
+	encode(w, httpplatform.RowsResponse{Rows: rows})
+}
+
+func (s *Server) refuseWhileDown(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if s.Faults().Members.Down {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+func (s *Server) list(w http.ResponseWriter, _ *http.Request) {
+	encode(w, httpplatform.MembersResponse{Members: s.members.list(s.Faults().Members.Lag)})
+}
+
+func (s *Server) register(w http.ResponseWriter, r *http.Request) {
+	var m platform.Member
+	if !decode(w, r, &m) {
+		return
+	}
+	m.ID = memberID(r)
+	s.members.put(m)
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (s *Server) deregister(w http.ResponseWriter, r *http.Request) {
+	s.members.remove(memberID(r))
+	w.WriteHeader(http.StatusNoContent)
+}
+
+// memberID is the id in the path; chi leaves an escaped path as it is.
+func memberID(r *http.Request) string {
+	id, err := url.PathUnescape(chi.URLParam(r, "id"))
+	if err != nil {
+		return chi.URLParam(r, "id")
+	}
+	return id
+}
+
+func (s *Server) getFaults(w http.ResponseWriter, _ *http.Request) { encode(w, s.Faults()) }
+
+func (s *Server) putFaults(w http.ResponseWriter, r *http.Request) {
+	var f Faults
+	if !decode(w, r, &f) {
+		return
+	}
+	s.SetFaults(f)
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func decode(w http.ResponseWriter, r *http.Request, into any) bool {
+	err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxBodyBytes)).Decode(into)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+	}
+	return err == nil
+}
+
+func encode(w http.ResponseWriter, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	// The client may be gone; there is nobody else to tell.
+	_ = json.NewEncoder(w).Encode(v)
+}
