Add state charts that the code interprets

The life of a request, a roll-out, an entry instance and a backend server stand in embedded YAML files, checked whole at load: undefined states and events, unused events, unreachable states, dead ends and cycles without an end are reported together. make check-generated fails when the drawn page is stale.

--- a/Makefile
+++ b/Makefile
@@ -21,3 +21,9 @@
 	@out=$$($(TOOLS) gofumpt -l cmd internal); test -z "$$out" || { echo "not formatted:"; echo "$$out"; exit 1; }
 	$(GO) vet ./...
 	$(TOOLS) staticcheck ./...
+
+generate:
+	$(GO) generate ./...
+
+check-generated:
+	$(GO) run ./internal/statechart/gen -check
--- /dev/null
+++ b/internal/statechart/names.go
@@ -0,0 +1,85 @@
+package statechart
+
+// States of the request chart.
+const (
+	RequestReceived   State = "received"
+	RequestIdentified State = "identified"
+	RequestClassified State = "classified"
+	RequestAdmitted   State = "admitted"
+	RequestPlanned    State = "planned"
+	RequestClaimed    State = "claimed"
+	RequestAttempting State = "attempting"
+	RequestJudging    State = "judging"
+	RequestEscalating State = "escalating"
+	RequestBilling    State = "billing"
+	RequestAnswered   State = "answered"
+	RequestRefused    State = "refused"
+	RequestFailed     State = "failed"
+)
+
+// Events of the request chart; the chart file describes each.
+const (
+	RequestIdentify Event = "identify"
+	RequestClassify Event = "classify"
+	RequestAdmit    Event = "admit"
+	RequestPlan     Event = "plan"
+	RequestClaim    Event = "claim"
+	RequestReplay   Event = "replay"
+	RequestSend     Event = "send"
+	RequestRetry    Event = "retry"
+	RequestAnswer   Event = "answer"
+	RequestAccept   Event = "accept"
+	RequestEscalate Event = "escalate"
+	RequestBill     Event = "bill"
+	RequestRefuse   Event = "refuse"
+	RequestFail     Event = "fail"
+)
+
+// States of the roll-out chart are the values of settings.RolloutStatus.
+
+// Events of the roll-out chart.
+const (
+	RolloutOperatorPause    Event = "operator_pause"
+	RolloutOperatorResume   Event = "operator_resume"
+	RolloutOperatorWithdraw Event = "operator_withdraw"
+	RolloutStagePassed      Event = "stage_passed"
+	RolloutLastStagePassed  Event = "last_stage_passed"
+	RolloutVersionBad       Event = "version_bad"
+)
+
+// States of the entry chart.
+const (
+	EntryStarting    State = "starting"
+	EntryReady       State = "ready"
+	EntryNotVouching State = "not_vouching"
+	EntryDraining    State = "draining"
+	EntryStopped     State = "stopped"
+)
+
+// Events of the entry chart.
+const (
+	EntrySettingsCurrent Event = "settings_current"
+	EntrySettingsStale   Event = "settings_stale"
+	EntryShutdown        Event = "shutdown"
+	EntryDrained         Event = "drained"
+)
+
+// States of the server chart.
+const (
+	ServerUnknown State = "unknown"
+	ServerUp      State = "up"
+	ServerSuspect State = "suspect"
+	ServerDown    State = "down"
+	ServerLeaving State = "leaving"
+	ServerRemoved State = "removed"
+)
+
+// Events of the server chart.
+const (
+	ServerReportOK          Event = "report_ok"
+	ServerReportLeaving     Event = "report_leaving"
+	ServerProbeFailed       Event = "probe_failed"
+	ServerConnectionRefused Event = "connection_refused"
+	ServerCrashed           Event = "crashed"
+	ServerRemove            Event = "removed"
+)
--- /dev/null
+++ b/internal/statechart/set.go
@@ -0,0 +1,54 @@
+package statechart
+
+import (
+	"embed"
+	"path"
+
+	"github.com/basilrail/basilrail/internal/findings"
+)
+
+//go:generate go run ./gen -out ../../docs/STATECHARTS.md
+
+//go:embed charts/*.yaml
+var files embed.FS
+
+// Set holds the program's charts.
+type Set struct {
+	Request *Chart
+	Rollout *Chart
+	Entry   *Chart
+	Server  *Chart
+}
+
+// Load reads and checks every embedded chart. The error is a findings.List with
+// the faults of all files together.
+func Load() (*Set, error) {
+	var list findings.List
+	set := &Set{
+		Request: load(&list, "request"),
+		Rollout: load(&list, "rollout"),
+		Entry:   load(&list, "entry"),
+		Server:  load(&list, "server"),
+	}
+	if err := list.Err(); err != nil {
+		return nil, err
+	}
+	return set, nil
+}
+
+// All lists the charts in the order in which the documentation shows them.
+func (s *Set) All() []*Chart { return []*Chart{s.Request, s.Rollout, s.Entry, s.Server} }
+
+func load(list *findings.List, name string) *Chart {
+	file := path.Join("charts", name+".yaml")
+	text, err := files.ReadFile(file)
+	if err != nil {
+		list.Add(file, "%s", err)
+		return nil
+	}
+	chart, err := Parse(file, text)
+	if err != nil {
+		*list = append(*list, err.(findings.List)...)
+	}
+	return chart
+}
