--- a/internal/backend/backend_test.go
+++ b/internal/backend/backend_test.go
@@ -143,7 +143,7 @@
 }
 
 func event(id string, seq int, text string) string {
-	return fmt.Sprintf("data: {\"id\":%q,\"sequence\":%d,\"choices\":[{\"delta\":{\"content\":%q}}]}\n\n", id, seq, text)
+	return fmt.Sprintf("data: {\"id\":%q,\"offset\":%d,\"choices\":[{\"delta\":{\"content\":%q}}]}\n\n", id, seq, text)
 }
 
 func TestStreamPassesOnOnlyItsOwnChunksInOrder(t *testing.T) {
@@ -188,10 +188,10 @@
 }
 
 func FuzzDecodeChunk(f *testing.F) {
-	f.Add([]byte(`{"id":"a1","sequence":0,"choices":[{"delta":{"content":"x"}}]}`))
+	f.Add([]byte(`{"id":"a1","offset":0,"choices":[{"delta":{"content":"x"}}]}`))
 	f.Add([]byte(`{"id":"a1","usage":{"prompt_tokens":1}}`))
 	f.Add([]byte(`[]`))
-	f.Add([]byte(`{"sequence":-1}`))
+	f.Add([]byte(`{"offset":-1}`))
 	f.Fuzz(func(t *testing.T, data []byte) {
 		chunk, err := DecodeChunk(data)
 		assert.Equal(t, err == nil, chunk != nil)
--- a/internal/backend/chat.go
+++ b/internal/backend/chat.go
@@ -34,7 +34,7 @@
 	Server    *datastore.Server
 	// Body is the request's JSON, with the version as its model.
 	Body []byte
-	// Priority is the engine's priority, lower is sooner.
+	// Priority is the engine's priority, higher is sooner.
 	Priority int
 	// Resume continues a cut stream; nil starts anew.
 	Resume *ResumePoint
@@ -58,9 +58,10 @@
 type Chunk struct {
 	// ID is the attempt's id.
 	ID string `json:"id"`
-	// Sequence counts the stream's chunks from zero.
-	Sequence int               `json:"sequence"`
-	Choices  []json.RawMessage `json:"choices"`
+	// Offset counts the stream's chunks from zero; the closing chunk, which
+	// carries the usage, has none.
+	Offset  *int              `json:"offset,omitempty"`
+	Choices []json.RawMessage `json:"choices"`
 	// Usage stands in the last chunk only.
 	Usage *Usage `json:"usage,omitempty"`
 }
@@ -183,11 +184,23 @@
 	if err != nil {
 		return nil, &Error{Fate: Broken, Server: s.server, cause: err}
 	}
-	if chunk.ID != s.id || chunk.Sequence < s.next {
+	if chunk.ID != s.id {
 		s.Dropped++
 		return nil, nil
 	}
-	if chunk.Sequence > s.next {
+	if chunk.Offset == nil {
+		return chunk, nil
+	}
+	return s.inOrder(chunk)
+}
+
+// inOrder takes the next chunk and drops one that was already taken.
+func (s *Stream) inOrder(chunk *Chunk) (*Chunk, error) {
+	switch {
+	case *chunk.Offset < s.next:
+		s.Dropped++
+		return nil, nil
+	case *chunk.Offset > s.next:
 		return nil, &Error{Fate: Broken, Server: s.server, cause: errors.Errorf("chunk %d missing", s.next)}
 	}
 	s.next++
--- a/internal/backend/client.go
+++ b/internal/backend/client.go
@@ -25,7 +25,7 @@
 	HeaderNotRun = "X-Not-Run"
 	// HeaderLeaving is "true" when the server is leaving.
 	HeaderLeaving = "X-Leaving"
-	// HeaderPriority carries the engine's priority, lower is sooner.
+	// HeaderPriority carries the engine's priority, higher is sooner.
 	HeaderPriority = "X-Priority"
 	// HeaderResumeAttempt and HeaderResumeOffset continue a cut stream.
 	HeaderResumeAttempt = "X-Resume-Attempt"
