Claim non-idempotent requests with group commit

A sender must own a put-if-absent row of (client account, key hash). An unknown commit is settled by reading back the write id; what can't be settled is never sent and its row is removed if it lands late. Small transactions of one instance share commits within its write budget; a conflict fails only its own transaction and the rest is sent again.

--- /dev/null
+++ b/internal/claim/backlog.go
@@ -0,0 +1,225 @@
+package claim
+
+import (
+	"bytes"
+	"context"
+	"sync"
+	"time"
+
+	"github.com/basilrail/basilrail/internal/events"
+	"github.com/basilrail/basilrail/internal/platform"
+	"github.com/basilrail/basilrail/internal/wait"
+)
+
+const (
+	// retryInterval is the time between two rounds of the backlog.
+	retryInterval = time.Second
+	// writesPerRound bounds the writes tried in one round.
+	writesPerRound = 64
+	// maxBacklogWrites and maxBacklogBytes bound the delayed writes.
+	maxBacklogWrites = 4096
+	maxBacklogBytes  = 8 << 20
+	// maxAbandoned bounds the claims that are watched for a late landing.
+	maxAbandoned = 4096
+	// sweepInterval is the time between two reads of the watched claims.
+	sweepInterval = 5 * time.Second
+	// abandonFor is how long a claim in doubt is watched.
+	abandonFor = 2 * time.Minute
+)
+
+// pendingWrite replaces an owned claim's row, or deletes it if value is nil.
+type pendingWrite struct {
+	rowKey    string
+	revision  uint64
+	value     []byte
+	requestID string
+	// inDoubt is set once an attempt had an unknown outcome.
+	inDoubt bool
+}
+
+func (w *pendingWrite) txn() platform.Txn {
+	return platform.Txn{
+		Conditions: []platform.Condition{{Key: w.rowKey, Revision: w.revision}},
+		Mutations:  []platform.Mutation{{Key: w.rowKey, Value: w.value, Delete: w.value == nil}},
+	}
+}
+
+// abandoned is a claim that will never be sent and of which an attempt at the
+// commit is in doubt: it may still land.
+type abandoned struct {
+	rowKey  string
+	writeID string
+	until   time.Time
+}
+
+// backlog holds what must still be written.
+type backlog struct {
+	service *Service
+
+	mu        sync.Mutex
+	writes    []*pendingWrite
+	bytes     int
+	trying    int
+	swept     time.Time
+	abandoned []abandoned
+}
+
+func newBacklog(s *Service) *backlog { return &backlog{service: s} }
+
+// add queues a write; false means that the backlog is full.
+func (b *backlog) add(w *pendingWrite) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if len(b.writes) >= maxBacklogWrites || b.bytes+len(w.value) > maxBacklogBytes {
+		return false
+	}
+	b.writes = append(b.writes, w)
+	b.bytes += len(w.value)
+	return true
+}
+
+// abandon watches a claim in doubt; beyond the bound the oldest is forgotten
+// and its row, should it land, stays pending.
+func (b *backlog) abandon(key Key, writeID string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if len(b.abandoned) >= maxAbandoned {
+		b.abandoned = b.abandoned[1:]
+	}
+	b.abandoned = append(b.abandoned, abandoned{rowKey(key), writeID, time.Now().Add(abandonFor)})
+}
+
+func (b *backlog) run(ctx context.Context) {
+	for wait.For(ctx, retryInterval) == nil {
+		b.round(ctx)
+	}
+}
+
+func (b *backlog) close(ctx context.Context) int {
+	for b.round(ctx); b.pending() > 0; b.round(ctx) {
+		if wait.For(ctx, retryInterval/4) != nil {
+			break
+		}
+	}
+	return b.pending()
+}
+
+func (b *backlog) pending() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return len(b.writes) + b.trying
+}
+
+// round tries the oldest writes together, so that they share a commit, and
+// removes abandoned claims that have landed.
+func (b *backlog) round(ctx context.Context) {
+	var tries sync.WaitGroup
+	for _, w := range b.take() {
+		tries.Go(func() {
+			b.retry(ctx, w)
+		})
+	}
+	tries.Wait()
+	b.sweep(ctx)
+}
+
+// retry makes one more attempt and puts the write back if that fails.
+func (b *backlog) retry(ctx context.Context, w *pendingWrite) {
+	if !b.service.try(ctx, w) && !b.add(w) {
+		b.service.log.Log(events.ClaimOutcomeLost, events.Fields{RequestID: w.requestID, Reason: "backlog full"})
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.trying--
+}
+
+func (b *backlog) take() []*pendingWrite {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	n := min(len(b.writes), writesPerRound)
+	taken := b.writes[:n:n]
+	b.writes = b.writes[n:]
+	b.trying += n
+	for _, w := range taken {
+		b.bytes -= len(w.value)
+	}
+	return taken
+}
+
+// try makes one attempt at a write and reports whether it is done with.
+func (s *Service) try(ctx context.Context, w *pendingWrite) bool {
+	result := s.commits.Commit(ctx, w.txn())
+	switch result.Outcome {
+	case platform.OutcomeCommitted:
+		return true
+	case platform.OutcomeConflict:
+		s.checkLanded(w, result.Conflicts)
+		return true
+	case platform.OutcomeUnknown:
+		w.inDoubt = true
+	}
+	return false
+}
+
+// checkLanded tells an earlier attempt that took effect from a lost claim.
+func (s *Service) checkLanded(w *pendingWrite, conflicts []platform.Row) {
+	landed := w.value == nil || (len(conflicts) == 1 && bytes.Equal(conflicts[0].Value, w.value))
+	if !w.inDoubt || !landed {
+		s.log.Log(events.ClaimOutcomeLost, events.Fields{RequestID: w.requestID, Reason: "row was changed by another"})
+	}
+}
+
+// sweep deletes the abandoned claims that have landed and forgets those that
+// were watched long enough.
+func (b *backlog) sweep(ctx context.Context) {
+	list := b.takeAbandoned()
+	if len(list) == 0 {
+		return
+	}
+	rows, err := b.service.reads.Get(ctx, rowKeys(list)...)
+	kept := make([]abandoned, 0, len(list))
+	for _, a := range list {
+		if err == nil {
+			b.remove(ctx, a, rows)
+		}
+		if time.Now().Before(a.until) {
+			kept = append(kept, a)
+		}
+	}
+	b.mu.Lock()
+	b.abandoned = append(kept, b.abandoned...)
+	b.mu.Unlock()
+}
+
+// takeAbandoned removes the watched claims when a sweep is due.
+func (b *backlog) takeAbandoned() []abandoned {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if time.Since(b.swept) < sweepInterval {
+		return nil
+	}
+	b.swept = time.Now()
+	list := b.abandoned
+	b.abandoned = nil
+	return list
+}
+
+func rowKeys(list []abandoned) []string {
+	keys := make([]string, 0, len(list))
+	for _, a := range list {
+		keys = append(keys, a.rowKey)
+	}
+	return keys
+}
+
+// remove deletes an abandoned claim's row if it stands. The claim stays watched,
+// because more than one attempt at it may land.
+func (b *backlog) remove(ctx context.Context, a abandoned, rows []platform.Row) {
+	for _, stored := range rows {
+		found, err := decodeRow(stored)
+		if stored.Key == a.rowKey && err == nil && found.WriteID == a.writeID {
+			w := &pendingWrite{rowKey: a.rowKey, revision: stored.Revision}
+			b.service.commits.Commit(ctx, w.txn())
+		}
+	}
+}
--- a/internal/claim/types.go
+++ b/internal/claim/types.go
@@ -38,8 +38,15 @@
 	Body   []byte      `cbor:"3,keyasint"`
 	// RequestID is the request that ran.
 	RequestID string `cbor:"4,keyasint"`
+	// BodyBytes and BodySHA256 stand for a body that was too large to record;
+	// Body is empty then and the answer can't be repeated.
+	BodyBytes  int    `cbor:"5,keyasint,omitempty"`
+	BodySHA256 []byte `cbor:"6,keyasint,omitempty"`
 }
 
+// BodyOmitted reports whether the answer ran but was too large to be repeated.
+func (o *Outcome) BodyOmitted() bool { return len(o.BodySHA256) > 0 }
+
 // Result is the answer of Acquire.
 type Result struct {
 	Status  Status
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -12,6 +12,7 @@
 
 	"github.com/basilrail/basilrail/internal/events"
 	"github.com/basilrail/basilrail/internal/platform"
+	"github.com/basilrail/basilrail/internal/wait"
 )
 
 const (
@@ -90,7 +91,9 @@
 			}
 		}
 		w.Poll(ctx)
-		w.sleep(ctx)
+		if wait.For(ctx, interval(w.View().EntryCount(), w.rand.Float64())) != nil {
+			return
+		}
 	}
 }
 
@@ -140,18 +143,8 @@
 	return view
 }
 
-// sleep waits for the next poll, spread by up to a fifth either way.
-func (w *Watcher) sleep(ctx context.Context) {
-	timer := time.NewTimer(interval(w.View().EntryCount(), w.rand.Float64()))
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
-
 // interval is the time between polls of a fleet of a size, so that the fleet
-// as a whole stays within fleetPollsPerSecond.
+// as a whole stays within fleetPollsPerSecond, spread by a fifth either way.
 func interval(entries int, random float64) time.Duration {
 	base := time.Duration(entries) * time.Second / fleetPollsPerSecond
 	base = max(base, minInterval)
--- a/internal/platform/memtable/memtable.go
+++ b/internal/platform/memtable/memtable.go
@@ -12,6 +12,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/basilrail/basilrail/internal/platform"
+	"github.com/basilrail/basilrail/internal/wait"
 )
 
 // Faults is what goes wrong; the zero value is a table in good order.
@@ -71,7 +72,7 @@
 
 // Commit applies the transaction, subject to the fault switches.
 func (t *Table) Commit(ctx context.Context, txn platform.Txn) platform.Result {
-	if err := t.wait(ctx); err != nil {
+	if err := t.delay(ctx); err != nil {
 		return platform.Result{Outcome: platform.OutcomeUnknown}
 	}
 	result, hook := t.commit(txn)
@@ -170,7 +171,7 @@
 
 // read counts a read and fails it while the table is down.
 func (t *Table) read(ctx context.Context) error {
-	if err := t.wait(ctx); err != nil {
+	if err := t.delay(ctx); err != nil {
 		return errors.Wrap(platform.ErrUnavailable, err.Error())
 	}
 	t.mu.Lock()
@@ -182,20 +183,10 @@
 	return nil
 }
 
-// wait sleeps for the configured delay, or until the context ends.
-func (t *Table) wait(ctx context.Context) error {
+// delay sleeps for the configured delay, or until the context ends.
+func (t *Table) delay(ctx context.Context) error {
 	t.mu.Lock()
 	delay := t.faults.Delay
 	t.mu.Unlock()
-	if delay <= 0 {
-		return ctx.Err()
-	}
-	timer := time.NewTimer(delay)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
+	return wait.For(ctx, delay)
 }
--- /dev/null
+++ b/internal/wait/wait.go
@@ -0,0 +1,23 @@
+// Package wait sleeps under a context.
+package wait
+
+import (
+	"context"
+	"time"
+)
+
+// For sleeps for a duration and returns nil, or the context's error if it ends
+// first.
+func For(ctx context.Context, d time.Duration) error {
+	if d <= 0 {
+		return ctx.Err()
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
