Add quarantine of content that crashes backend servers

Every request in flight on a crashed server is a suspect. Crashes are grow-only sets of (server, process) by content fingerprint, so that messages heard twice count once. A suspect is retried alone: an arbiter by rendezvous hash grants one suspect at a time a server, and one run at a time to a suspect content, so that the second crash names the culprit. Quarantined content is stored in the table and pulled by new entry instances from peers or the table. Fingerprints leave out account and version: the fault is the engine's, and the bound of two lost servers holds for the content wherever it is sent.

--- a/internal/datastore/datastore.go
+++ b/internal/datastore/datastore.go
@@ -14,6 +14,8 @@
 // Status is what is known of a backend server besides its settings. A Status
 // is never changed once stored.
 type Status struct {
+	// Instance is the id of the server's process, new after each of its starts.
+	Instance string
 	// Versions are the versions the server last reported as loaded.
 	Versions []settings.VersionRef
 	// QueuedTokens and RunningTokens are the load it last reported.
--- a/internal/peers/bus.go
+++ b/internal/peers/bus.go
@@ -32,6 +32,8 @@
 	KindServerState
 	// KindExplain asks for one request's record.
 	KindExplain
+	// KindSuspectSlot asks for, holds or gives back a server's slot for suspect content.
+	KindSuspectSlot
 )
 
 // Message is one received message.
--- /dev/null
+++ b/internal/quarantine/persist.go
@@ -0,0 +1,76 @@
+package quarantine
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/pkg/errors"
+
+	"github.com/basilrail/basilrail/internal/platform"
+)
+
+// maxPersistPerRound bounds the writes of one round.
+const maxPersistPerRound = 32
+
+// storedRecord is a quarantined content as the table service holds it.
+type storedRecord struct {
+	Fingerprint Fingerprint `cbor:"1,keyasint"`
+	Crashes     []Crash     `cbor:"2,keyasint"`
+	// At is when it was stored, by the entry's clock; it only bounds how long
+	// the row is kept.
+	At time.Time `cbor:"3,keyasint"`
+}
+
+func decodeStored(value []byte) (storedRecord, error) {
+	var stored storedRecord
+	err := cbor.Unmarshal(value, &stored)
+	return stored, errors.Wrap(err, "decode quarantine row")
+}
+
+// persist stores what is newly quarantined. Every entry instance may try; the
+// first one's row stays, and what failed is tried again next round.
+func (q *Quarantine) persist(ctx context.Context) {
+	if q.table == nil {
+		return
+	}
+	for _, stored := range q.unpersisted() {
+		key := rowPrefix + stored.Fingerprint.String()
+		value, err := cbor.Marshal(stored)
+		if err != nil {
+			return
+		}
+		result := q.table.Commit(ctx, platform.Txn{
+			Conditions: []platform.Condition{{Key: key}},
+			Mutations:  []platform.Mutation{{Key: key, Value: value}},
+		})
+		if result.Outcome == platform.OutcomeCommitted || result.Outcome == platform.OutcomeConflict {
+			q.markPersisted(stored.Fingerprint)
+		}
+	}
+}
+
+func (q *Quarantine) unpersisted() []storedRecord {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	now := time.Now()
+	var list []storedRecord
+	for fp, r := range q.records.byContent {
+		if len(list) == maxPersistPerRound {
+			break
+		}
+		if r.quarantined() && !r.persisted && !now.After(r.expiresAt()) {
+			list = append(list, storedRecord{Fingerprint: fp, Crashes: slices.Clone(r.counted()), At: now})
+		}
+	}
+	return list
+}
+
+func (q *Quarantine) markPersisted(fp Fingerprint) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if r, ok := q.records.byContent[fp]; ok {
+		r.persisted = true
+	}
+}
--- /dev/null
+++ b/internal/quarantine/place.go
@@ -0,0 +1,150 @@
+package quarantine
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// The errors of Place; nothing was sent.
+var (
+	// ErrNoSlot means that no server could take the content alone in time.
+	ErrNoSlot = errors.New("no backend server is free of other suspect content")
+	// ErrQuarantined means that the content must not be sent any more.
+	ErrQuarantined = errors.New("the content is quarantined")
+)
+
+const (
+	// settleDelay lets every entry instance tell the arbiters which suspects it
+	// already has in flight.
+	settleDelay = 200 * time.Millisecond
+	// placeInterval is the wait between two rounds over the candidates.
+	placeInterval = 100 * time.Millisecond
+	// maxPlaceTries bounds the arbiters asked in one round.
+	maxPlaceTries = 8
+)
+
+// Place finds, among candidate servers in order of preference, one on which the
+// suspect content may run alone, and takes its slot for the attempt until End.
+// The same content runs once at a time in the whole fleet. Place waits until
+// ctx ends and then returns ErrNoSlot; it returns ErrQuarantined as soon as the
+// content is quarantined. Servers that crashed with the content are taken only
+// when there is no other candidate.
+func (q *Quarantine) Place(ctx context.Context, fp Fingerprint, attempt string, candidates []string) (string, error) {
+	if !sleep(ctx, q.settleLeft(fp)) {
+		return "", ErrNoSlot
+	}
+	server, err := q.place(ctx, fp, attempt, candidates)
+	if err != nil {
+		q.askSlot(context.WithoutCancel(ctx), slotRelease, contentKey(fp), attempt, fp)
+		return "", err
+	}
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.placed[attempt] = placement{server: server, fingerprint: fp}
+	return server, nil
+}
+
+// place tries the candidates in rounds.
+func (q *Quarantine) place(ctx context.Context, fp Fingerprint, attempt string, candidates []string) (string, error) {
+	for {
+		server, ok := q.tryRound(ctx, fp, attempt, candidates)
+		if q.Check(fp).Quarantined {
+			q.releaseServer(ctx, server, attempt, fp)
+			return "", ErrQuarantined
+		}
+		if ok {
+			return server, nil
+		}
+		if !sleep(ctx, placeInterval) {
+			return "", ErrNoSlot
+		}
+	}
+}
+
+// tryRound takes the content's slot and then the first free server's.
+func (q *Quarantine) tryRound(ctx context.Context, fp Fingerprint, attempt string, candidates []string) (string, bool) {
+	if !q.askSlot(ctx, slotTake, contentKey(fp), attempt, fp) {
+		return "", false
+	}
+	for _, server := range q.order(fp, candidates) {
+		if q.askSlot(ctx, slotTake, serverKey(server), attempt, fp) {
+			return server, true
+		}
+	}
+	return "", false
+}
+
+func (q *Quarantine) releaseServer(ctx context.Context, server, attempt string, fp Fingerprint) {
+	if server != "" {
+		q.askSlot(ctx, slotRelease, serverKey(server), attempt, fp)
+	}
+}
+
+// settleLeft is how long the content must still wait after its crash was learned.
+func (q *Quarantine) settleLeft(fp Fingerprint) time.Duration {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	r := q.records.get(fp, time.Now())
+	if r == nil {
+		return 0
+	}
+	return time.Until(r.learnedAt.Add(settleDelay))
+}
+
+// order leaves out servers that run another suspect of this entry instance, and
+// those that crashed with the content unless nothing else is left.
+func (q *Quarantine) order(fp Fingerprint, candidates []string) []string {
+	avoid := q.Check(fp).Avoid
+	fresh := func(s string) bool { return !slices.Contains(avoid, s) }
+	if slices.ContainsFunc(candidates, fresh) {
+		candidates = filter(candidates, fresh)
+	}
+	candidates = filter(candidates, func(s string) bool { return !q.runsSuspect(s) })
+	return candidates[:min(len(candidates), maxPlaceTries)]
+}
+
+// runsSuspect reports whether this entry has suspect content in flight on the server.
+func (q *Quarantine) runsSuspect(server string) bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	now := time.Now()
+	for _, run := range q.runs {
+		if run.server == server && q.suspect(run.fingerprint, now) {
+			return true
+		}
+	}
+	return false
+}
+
+func (q *Quarantine) suspect(fp Fingerprint, now time.Time) bool {
+	r := q.records.get(fp, now)
+	return r != nil && len(r.counted()) > 0
+}
+
+func filter(list []string, keep func(string) bool) []string {
+	var kept []string
+	for _, s := range list {
+		if keep(s) {
+			kept = append(kept, s)
+		}
+	}
+	return kept
+}
+
+func compare(a, b string) int { return cmp.Compare(a, b) }
+
+// sleep waits; it reports false when ctx ended first.
+func sleep(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(max(d, 0))
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- /dev/null
+++ b/internal/quarantine/quarantine_test.go
@@ -0,0 +1,223 @@
+package quarantine
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/basilrail/basilrail/internal/peers/membus"
+	"github.com/basilrail/basilrail/internal/platform"
+	"github.com/basilrail/basilrail/internal/platform/memtable"
+)
+
+var (
+	culprit  = FingerprintOf([]byte("culprit"))
+	innocent = FingerprintOf([]byte("innocent"))
+	servers  = []string{"s1", "s2", "s3", "s4"}
+)
+
+// fleet is a few entry instances in one bubble.
+type fleet struct {
+	network *membus.Network
+	table   platform.Table
+	entries []*Quarantine
+}
+
+func (f *fleet) add(t *testing.T) *Quarantine {
+	id := fmt.Sprintf("entry-%d", len(f.entries))
+	q := New(Options{Bus: f.network.Join(id, "a"), Table: f.table, Rand: rand.New(rand.NewPCG(1, uint64(len(f.entries))))})
+	f.entries = append(f.entries, q)
+	go q.Run(t.Context())
+	return q
+}
+
+func newFleet(t *testing.T, n int) *fleet {
+	f := &fleet{network: membus.New(), table: memtable.New()}
+	for range n {
+		f.add(t)
+	}
+	return f
+}
+
+// crashOnce runs contents together on a server until it crashes.
+func crashOnce(q *Quarantine, server string, contents ...Fingerprint) []Suspect {
+	for i, fp := range contents {
+		q.Begin(server, "p1", fp, fmt.Sprintf("%s-%d", server, i))
+	}
+	suspects := q.Crashed(server, "p1")
+	for i := range contents {
+		q.End(fmt.Sprintf("%s-%d", server, i), false)
+	}
+	return suspects
+}
+
+// A content that crashed two servers is refused by every entry instance, also by
+// one that starts later with only the table or only a peer to ask.
+func TestSecondCrashQuarantinesEverywhere(t *testing.T) {
+	tests := []struct {
+		desc  string
+		spoil func(f *fleet)
+	}{
+		{desc: "store and peers well", spoil: func(*fleet) {}},
+		{desc: "store down", spoil: func(f *fleet) { f.table.(*memtable.Table).SetFaults(memtable.Faults{Down: true}) }},
+		{desc: "all earlier instances gone", spoil: func(f *fleet) {
+			for i := range f.entries {
+				f.network.Cut(fmt.Sprintf("entry-%d", i), true)
+			}
+		}},
+	}
+	for _, test := range tests {
+		t.Run(test.desc, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFleet(t, 3)
+				require.Len(t, crashOnce(f.entries[0], "s1", culprit, innocent), 2)
+				require.Equal(t, Verdict{Suspect: true, Avoid: []string{"s1"}}, f.entries[2].Check(culprit))
+				crashOnce(f.entries[1], "s2", culprit)
+				for _, q := range f.entries {
+					require.True(t, q.Check(culprit).Quarantined)
+					require.False(t, q.Check(innocent).Quarantined)
+				}
+				synctest.Wait()
+				test.spoil(f)
+				late := f.add(t)
+				synctest.Wait()
+				require.True(t, late.Check(culprit).Quarantined)
+			})
+		})
+	}
+}
+
+// The same crash told by several instances, or twice, counts once.
+func TestOneCrashCountsOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 3)
+		for _, q := range f.entries {
+			q.Begin("s1", "p1", innocent, "x")
+		}
+		for _, q := range f.entries {
+			q.Crashed("s1", "p1")
+			require.Empty(t, q.Crashed("s1", "p1"), "the second call finds nothing")
+		}
+		require.True(t, f.entries[0].Check(innocent).Suspect)
+		require.False(t, f.entries[0].Check(innocent).Quarantined)
+	})
+}
+
+// Two suspects of one crash never run together again, whichever instances send them.
+func TestSuspectsRunApart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 3)
+		crashOnce(f.entries[0], "s1", culprit, innocent)
+		first, err := f.entries[0].Place(t.Context(), culprit, "a", servers)
+		require.NoError(t, err)
+		require.NotEqual(t, "s1", first, "the crashed server is avoided")
+		second, err := f.entries[1].Place(t.Context(), innocent, "b", servers)
+		require.NoError(t, err)
+		require.NotEqual(t, first, second)
+
+		short, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		_, err = f.entries[2].Place(short, culprit, "c", servers)
+		require.ErrorIs(t, err, ErrNoSlot, "the same suspect content runs once at a time")
+
+		f.entries[0].Begin(first, "p1", culprit, "a")
+		done := make(chan error)
+		go func() {
+			_, err := f.entries[2].Place(t.Context(), culprit, "d", servers)
+			done <- err
+		}()
+		time.Sleep(time.Second)
+		f.entries[0].Crashed(first, "p1")
+		f.entries[0].End("a", false)
+		require.ErrorIs(t, <-done, ErrQuarantined, "who waits learns of the second crash")
+	})
+}
+
+// A suspect that another instance has in flight keeps its server closed to others.
+func TestRunningSuspectHoldsItsServer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 2)
+		f.entries[1].Begin("s2", "p1", innocent, "early")
+		crashOnce(f.entries[0], "s1", culprit, innocent)
+		placed, err := f.entries[0].Place(t.Context(), culprit, "a", []string{"s2", "s3"})
+		require.NoError(t, err)
+		require.Equal(t, "s3", placed)
+	})
+}
+
+// The slot of an entry instance that died is free after slotTTL.
+func TestSlotExpires(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 3)
+		content := contentNotDecidedBy(f.entries[0])
+		crashOnce(f.entries[0], "s1", content)
+		_, err := f.entries[0].Place(t.Context(), content, "a", servers)
+		require.NoError(t, err)
+		f.network.Cut("entry-0", true)
+		start := time.Now()
+		_, err = f.entries[1].Place(t.Context(), content, "b", servers)
+		require.NoError(t, err)
+		require.LessOrEqual(t, time.Since(start), slotTTL+time.Second)
+	})
+}
+
+// contentNotDecidedBy finds a content whose slot another instance decides on.
+func contentNotDecidedBy(q *Quarantine) Fingerprint {
+	for i := 0; ; i++ {
+		fp := FingerprintOf(fmt.Append(nil, i))
+		if q.arbiter(contentKey(fp)) != q.bus.Self() {
+			return fp
+		}
+	}
+}
+
+// Common content that is only nearby is cleared by whole answers everywhere.
+func TestSuccessesClear(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 2)
+		crashOnce(f.entries[0], "s1", innocent)
+		for i := range exoneratingSuccesses {
+			require.True(t, f.entries[1].Check(innocent).Suspect)
+			attempt := fmt.Sprint(i)
+			f.entries[1].Begin("s2", "p1", innocent, attempt)
+			f.entries[1].End(attempt, true)
+		}
+		require.Equal(t, Verdict{}, f.entries[0].Check(innocent))
+		crashOnce(f.entries[0], "s3", innocent)
+		require.False(t, f.entries[1].Check(innocent).Quarantined, "the cleared crash counts no more")
+	})
+}
+
+func TestMemoryIsBoundedAndExpires(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		q := New(Options{Bus: membus.New().Join("entry-0", "a")})
+		crashOnce(q, "s1", culprit)
+		crashOnce(q, "s2", culprit)
+		for i := range maxRecords + 10 {
+			q.mu.Lock()
+			q.learn(FingerprintOf(fmt.Append(nil, i)), []Crash{{Server: "s3"}}, nil, time.Now())
+			q.mu.Unlock()
+		}
+		require.LessOrEqual(t, len(q.records.byContent), maxRecords)
+		require.True(t, q.Check(culprit).Quarantined, "eviction spares the quarantined")
+		time.Sleep(quarantineTTL - time.Minute)
+		require.True(t, q.Check(culprit).Quarantined, "a refused try prolongs the quarantine")
+		time.Sleep(2 * time.Minute)
+		require.Len(t, q.List(), 1)
+		time.Sleep(quarantineTTL)
+		require.Empty(t, q.List())
+	})
+}
+
+func FuzzDecodeSlot(f *testing.F) {
+	f.Add([]byte{0xa3, 0x01, 0x01, 0x02, 0x61, 0x6b, 0x03, 0x61, 0x61})
+	f.Fuzz(func(_ *testing.T, body []byte) {
+		_, _ = decodeSlot(body)
+		_, _ = decodeSuspects(body)
+	})
+}
--- /dev/null
+++ b/internal/quarantine/share.go
@@ -0,0 +1,194 @@
+package quarantine
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"time"
+
+	"github.com/basilrail/basilrail/internal/peers"
+	"github.com/basilrail/basilrail/internal/platform"
+)
+
+const (
+	// shareInterval is the time between two rounds of Run.
+	shareInterval = 20 * time.Second
+	// startPulls is the number of peers asked when an entry instance starts.
+	startPulls = 3
+	// pullTimeout bounds the wait for one peer.
+	pullTimeout = 2 * time.Second
+	// rowPrefix is where quarantined contents stand in the table service.
+	rowPrefix = "quarantine/"
+	// rowsPerScan bounds one read.
+	rowsPerScan = 500
+)
+
+// Run keeps the records in step with the peers and the table until ctx ends:
+// it loads both at the start, tells arbiters of suspects in flight, renews
+// slots, pulls from a random peer against lost messages, and stores what is
+// quarantined, so that it outlives every entry instance.
+func (q *Quarantine) Run(ctx context.Context) {
+	q.load(ctx)
+	q.pull(ctx, startPulls)
+	timer := time.NewTimer(q.jittered(shareInterval))
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-q.wake:
+			q.holdSlots(ctx)
+			q.persist(ctx)
+		case <-timer.C:
+			q.holdSlots(ctx)
+			q.pull(ctx, 1)
+			q.persist(ctx)
+			timer.Reset(q.jittered(shareInterval))
+		}
+	}
+}
+
+// jittered spreads an interval over 0.5 to 1.5 of itself.
+func (q *Quarantine) jittered(d time.Duration) time.Duration {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return d/2 + time.Duration(q.rand.Int64N(int64(d)))
+}
+
+// holdSlots tells the arbiters of every suspect content in flight here, which
+// also renews the slots that Place took.
+func (q *Quarantine) holdSlots(ctx context.Context) {
+	for attempt, run := range q.suspectRuns() {
+		q.askSlot(ctx, slotHold, serverKey(run.server), attempt, run.fingerprint)
+		q.askSlot(ctx, slotHold, contentKey(run.fingerprint), attempt, run.fingerprint)
+	}
+}
+
+// suspectRuns returns the attempts in flight that own slots, and marks those of
+// suspect content as owning them.
+func (q *Quarantine) suspectRuns() map[string]run {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	now := time.Now()
+	held := make(map[string]run)
+	for attempt, run := range q.runs {
+		if run.crashed || !run.slotted && !q.suspect(run.fingerprint, now) {
+			continue
+		}
+		run.slotted = true
+		q.runs[attempt] = run
+		held[attempt] = run
+	}
+	return held
+}
+
+// pull asks up to n random connected peers for their newest records.
+func (q *Quarantine) pull(ctx context.Context, n int) {
+	list := slices.DeleteFunc(q.bus.Peers(), func(p peers.Peer) bool { return !p.Connected })
+	q.mu.Lock()
+	q.rand.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
+	q.mu.Unlock()
+	for _, p := range list[:min(n, len(list))] {
+		q.pullFrom(ctx, p.ID)
+	}
+}
+
+func (q *Quarantine) pullFrom(ctx context.Context, peer string) {
+	ctx, cancel := context.WithTimeout(ctx, pullTimeout)
+	defer cancel()
+	var reply suspectsMessage
+	if err := q.bus.Request(ctx, peer, peers.KindSuspect, suspectsMessage{Pull: true}, &reply); err != nil {
+		return
+	}
+	q.learnAll(reply.Records)
+}
+
+func (q *Quarantine) handleSuspects(_ context.Context, msg peers.Message) (any, error) {
+	body, err := decodeSuspects(msg.Body)
+	if err != nil {
+		return nil, err
+	}
+	q.learnAll(body.Records)
+	if !body.Pull {
+		return nil, nil
+	}
+	return suspectsMessage{Records: q.newest()}, nil
+}
+
+// learnAll merges peers' records and wakes Run to hold the slots of those that
+// are in flight here.
+func (q *Quarantine) learnAll(list []recordMessage) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	now := time.Now()
+	news := false
+	for _, m := range list {
+		if q.learn(m.Fingerprint, m.Crashes, m.Cleared, now.Add(-m.Age)) {
+			news = true
+		}
+	}
+	if news {
+		q.signal()
+	}
+}
+
+// newest returns the most recently touched records.
+func (q *Quarantine) newest() []recordMessage {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	now := time.Now()
+	var list []recordMessage
+	for fp, r := range q.records.byContent {
+		if !now.After(r.expiresAt()) {
+			list = append(list, message(fp, r, now))
+		}
+	}
+	slices.SortFunc(list, func(a, b recordMessage) int { return cmp.Compare(a.Age, b.Age) })
+	return list[:min(len(list), maxRecordsPerMessage)]
+}
+
+func message(fp Fingerprint, r *record, now time.Time) recordMessage {
+	return recordMessage{
+		Fingerprint: fp,
+		Crashes:     slices.Clone(r.crashes),
+		Cleared:     slices.Clone(r.cleared),
+		Age:         now.Sub(r.touchedAt),
+	}
+}
+
+// load reads the stored contents; without the table the peers must do.
+func (q *Quarantine) load(ctx context.Context) {
+	if q.table == nil {
+		return
+	}
+	after := ""
+	for {
+		rows, err := q.table.Scan(ctx, rowPrefix, after, rowsPerScan)
+		if err != nil || len(rows) == 0 {
+			return
+		}
+		for _, row := range rows {
+			q.loadRow(ctx, row)
+		}
+		after = rows[len(rows)-1].Key
+	}
+}
+
+// loadRow takes in one stored content, or deletes it when it is too old.
+func (q *Quarantine) loadRow(ctx context.Context, row platform.Row) {
+	stored, err := decodeStored(row.Value)
+	if err != nil {
+		return
+	}
+	if time.Since(stored.At) > quarantineTTL {
+		q.table.Commit(ctx, platform.Txn{
+			Conditions: []platform.Condition{{Key: row.Key, Revision: row.Revision}},
+			Mutations:  []platform.Mutation{{Key: row.Key, Delete: true}},
+		})
+		return
+	}
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.learn(stored.Fingerprint, stored.Crashes, nil, stored.At)
+	q.records.getOrAdd(stored.Fingerprint, time.Now()).persisted = true
+}
