--- a/internal/datastore/datastore.go
+++ b/internal/datastore/datastore.go
@@ -4,10 +4,15 @@
 package datastore
 
 import (
+	"cmp"
+	"maps"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/basilrail/basilrail/internal/settings"
 )
 
@@ -21,6 +26,9 @@
 	RunningTokens int64
 	// ReportedAt is when this entry received the report; zero for never.
 	ReportedAt time.Time
+	// OwnTokens is this entry's part of the load when the report came in;
+	// SetStatus fills it.
+	OwnTokens int64
 	// Leaving servers get no new work.
 	Leaving bool
 	// Down servers failed a probe or an attempt and are not yet seen well again.
@@ -32,6 +40,8 @@
 type Server struct {
 	ID       string
 	Settings settings.Server
+	// Hash is the hash of ID, for rendezvous hashing.
+	Hash uint64
 
 	requests atomic.Int64
 	tokens   atomic.Int64
@@ -63,27 +73,47 @@
 	Settings *settings.Snapshot
 	Servers  map[string]*Server
 
+	// watched are the servers this entry uses, in the order of their ids.
+	watched   []*Server
 	byVersion map[settings.VersionRef][]*Server
 	byService map[string][]*Server
 }
 
-// ForVersion returns the servers that reported the version as loaded. The
-// slice must not be changed.
+// Watched returns the servers this entry asks for their state and sends work
+// to: all of them, or the entry's subset. The slice must not be changed.
+func (s *Snapshot) Watched() []*Server { return s.watched }
+
+// ForVersion returns the watched servers that reported the version as loaded,
+// in the order of their ids. The slice must not be changed.
 func (s *Snapshot) ForVersion(ref settings.VersionRef) []*Server { return s.byVersion[ref] }
 
-// ForService returns the servers of a plain service. The slice must not be changed.
+// ForService returns the watched servers of a plain service, in the order of
+// their ids. The slice must not be changed.
 func (s *Snapshot) ForService(name string) []*Server { return s.byService[name] }
 
 // Store builds Snapshots. It is safe for concurrent use.
 type Store struct {
 	mu      sync.Mutex
 	current atomic.Pointer[Snapshot]
+	subset  subset
+}
+
+// Option changes how a Store is made.
+type Option func(*Store)
+
+// WithSubset makes the entry watch at most size servers of each model and of
+// each plain service, chosen by the entry's id.
+func WithSubset(entryID string, size int) Option {
+	return func(d *Store) { d.subset = subset{seed: xxhash.Sum64String(entryID), size: size} }
 }
 
 // New makes a store with empty settings of revision zero.
-func New() *Store {
+func New(options ...Option) *Store {
 	d := &Store{}
-	d.current.Store(build(settings.Compile(0, settings.Tree{}), nil))
+	for _, option := range options {
+		option(d)
+	}
+	d.current.Store(d.build(settings.Compile(0, settings.Tree{}), nil))
 	return d
 }
 
@@ -98,12 +128,12 @@
 	if s.Revision <= current.Settings.Revision {
 		return false
 	}
-	d.current.Store(build(s, current.Servers))
+	d.current.Store(d.build(s, current.Servers))
 	return true
 }
 
-// SetStatus stores a server's status. Indexes are built anew only when the
-// loaded versions changed.
+// SetStatus stores a server's status. Only the indexes of versions that the
+// server newly reports, or no longer reports, are built anew.
 func (d *Store) SetStatus(id string, status Status) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -112,56 +142,104 @@
 	if !ok {
 		return
 	}
+	status.OwnTokens = server.tokens.Load()
 	old := server.status.Swap(&status)
-	if !sameVersions(old.Versions, status.Versions) {
-		d.current.Store(build(current.Settings, current.Servers))
-	}
-}
-
-func sameVersions(a, b []settings.VersionRef) bool {
-	if len(a) != len(b) {
-		return false
-	}
-	for i := range a {
-		if a[i] != b[i] {
-			return false
-		}
+	if slices.Equal(old.Versions, status.Versions) || !current.isWatched(server) {
+		return
 	}
-	return true
+	d.current.Store(current.moved(server, old.Versions, status.Versions))
 }
 
 // build indexes the settings' servers, keeping the counters of those that stay.
-func build(s *settings.Snapshot, old map[string]*Server) *Snapshot {
+func (d *Store) build(s *settings.Snapshot, old map[string]*Server) *Snapshot {
+	servers := make(map[string]*Server, len(s.Tree.Servers))
+	all := make([]*Server, 0, len(s.Tree.Servers))
+	for id, cfg := range s.Tree.Servers {
+		server := reuse(old[id], id, cfg)
+		servers[id] = server
+		all = append(all, server)
+	}
+	slices.SortFunc(all, func(a, b *Server) int { return cmp.Compare(a.ID, b.ID) })
 	snap := &Snapshot{
 		Settings:  s,
-		Servers:   make(map[string]*Server, len(s.Tree.Servers)),
+		Servers:   servers,
+		watched:   d.subset.choose(all),
 		byVersion: make(map[settings.VersionRef][]*Server),
 		byService: make(map[string][]*Server),
 	}
-	for id, cfg := range s.Tree.Servers {
-		snap.add(reuse(old[id], id, cfg))
+	for _, server := range snap.watched {
+		snap.add(server)
 	}
 	return snap
 }
 
 // reuse keeps a server whose settings did not change, with its counters.
 func reuse(old *Server, id string, cfg settings.Server) *Server {
-	if old != nil && old.Settings.Address == cfg.Address && old.Settings.Capacity == cfg.Capacity &&
-		old.Settings.Service == cfg.Service && old.Settings.Traits == cfg.Traits {
+	if old != nil && sameSettings(old.Settings, cfg) {
 		return old
 	}
-	server := &Server{ID: id, Settings: cfg}
+	server := &Server{ID: id, Settings: cfg, Hash: xxhash.Sum64String(id)}
 	server.status.Store(&Status{})
 	return server
 }
 
+func sameSettings(a, b settings.Server) bool {
+	return a.Address == b.Address && a.FailureDomain == b.FailureDomain &&
+		a.Capacity == b.Capacity && a.Service == b.Service &&
+		a.Traits == b.Traits && slices.Equal(a.Models, b.Models)
+}
+
 func (s *Snapshot) add(server *Server) {
-	s.Servers[server.ID] = server
 	if server.Settings.Service != "" {
 		s.byService[server.Settings.Service] = append(s.byService[server.Settings.Service], server)
 		return
 	}
 	for _, ref := range server.Status().Versions {
-		s.byVersion[ref] = append(s.byVersion[ref], server)
+		list := s.byVersion[ref]
+		// A report may name a version twice.
+		if len(list) == 0 || list[len(list)-1] != server {
+			s.byVersion[ref] = append(list, server)
+		}
+	}
+}
+
+// moved returns a copy in which the server has the new versions.
+func (s *Snapshot) moved(server *Server, before, after []settings.VersionRef) *Snapshot {
+	snap := *s
+	snap.byVersion = maps.Clone(s.byVersion)
+	for _, ref := range before {
+		snap.byVersion[ref] = without(snap.byVersion[ref], server)
+	}
+	for _, ref := range after {
+		snap.byVersion[ref] = with(snap.byVersion[ref], server)
+	}
+	return &snap
+}
+
+func (s *Snapshot) isWatched(server *Server) bool {
+	_, found := position(s.watched, server)
+	return found
+}
+
+// position finds a server in a list ordered by id.
+func position(list []*Server, server *Server) (int, bool) {
+	return slices.BinarySearchFunc(list, server, func(a, b *Server) int { return cmp.Compare(a.ID, b.ID) })
+}
+
+// with returns a copy of the list that holds the server.
+func with(list []*Server, server *Server) []*Server {
+	at, found := position(list, server)
+	if found {
+		return list
+	}
+	return slices.Insert(slices.Clone(list), at, server)
+}
+
+// without returns a copy of the list that does not hold the server.
+func without(list []*Server, server *Server) []*Server {
+	at, found := position(list, server)
+	if !found {
+		return list
 	}
+	return slices.Delete(slices.Clone(list), at, at+1)
 }
--- /dev/null
+++ b/internal/scheduling/filter_leaving.go
@@ -0,0 +1,12 @@
+package scheduling
+
+// LeavingFilter drops servers that are leaving.
+type LeavingFilter struct{}
+
+// Reject implements Filter.
+func (LeavingFilter) Reject(_ *Request, e *Entry) Reason {
+	if e.Status.Leaving {
+		return RejectedLeaving
+	}
+	return ""
+}
