--- /dev/null
+++ b/internal/gateway/attempt.go
@@ -0,0 +1,246 @@
+package gateway
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/basilrail/basilrail/internal/apierror"
+	"github.com/basilrail/basilrail/internal/backend"
+	"github.com/basilrail/basilrail/internal/billing"
+	"github.com/basilrail/basilrail/internal/datastore"
+	"github.com/basilrail/basilrail/internal/quarantine"
+	"github.com/basilrail/basilrail/internal/scheduling"
+	"github.com/basilrail/basilrail/internal/settings"
+	"github.com/basilrail/basilrail/internal/statechart"
+)
+
+const (
+	// noServerRetry is when to come back while no backend server can take the request.
+	noServerRetry = time.Second
+	// failureRetry is when to come back after a failure.
+	failureRetry = 2 * time.Second
+)
+
+// work is what a request wants of one version or plain service. Its attempts
+// share it.
+type work struct {
+	r *request
+	// version is zero for a call of a plain service.
+	version settings.VersionRef
+	// service is empty for a model.
+	service string
+	tokens  int64
+	prefix  uint64
+	content quarantine.Fingerprint
+	// idempotent work may run more than once.
+	idempotent bool
+	// excluded are the servers that already failed this work.
+	excluded []string
+	tries    int
+}
+
+// target names the version or service.
+func (w *work) target() string {
+	if w.service != "" {
+		return w.service
+	}
+	return w.version.String()
+}
+
+// placement is an attempt that may be sent to a server now.
+type placement struct {
+	work   *work
+	id     string
+	server *datastore.Server
+	// instance is the server's process as last reported when the attempt began.
+	instance string
+	grant    Grant
+	started  time.Time
+	record   *AttemptRecord
+}
+
+// permit checks that the work may run by the newest settings.
+func (w *work) permit() *apierror.Error {
+	g := w.r.gateway
+	snap := g.Data.Snapshot().Settings
+	if w.service != "" {
+		return permitService(snap, w.r.view.ID, w.service)
+	}
+	switch snap.Permission(w.r.view.ID, w.version) {
+	case settings.VersionWithdrawn:
+		return apierror.New(http.StatusConflict, apierror.CodeVersionWithdrawn, "version %s is withdrawn", w.version)
+	case settings.NotAllowed:
+		return apierror.New(http.StatusForbidden, apierror.CodeVersionForbidden, "the client account may not use version %s", w.version)
+	}
+	if g.Versions.Suspended(w.version, w.r.view.TeamName) {
+		return apierror.New(http.StatusConflict, apierror.CodeVersionWithdrawn, "version %s is suspended", w.version)
+	}
+	return nil
+}
+
+// place waits for the work's turn and picks its server. The permission is
+// checked again after the wait: the settings may have changed meanwhile.
+func (w *work) place(ctx context.Context) (*placement, *apierror.Error) {
+	if refusal := w.permit(); refusal != nil {
+		return nil, refusal
+	}
+	verdict := w.r.gateway.Suspects.Check(w.content)
+	if verdict.Quarantined {
+		return nil, quarantined(verdict.Until)
+	}
+	p := &placement{work: w, id: w.r.nextAttempt(), started: time.Now()}
+	p.record = w.r.record.attempt(p.id, w.target())
+	grant, refusal := w.queue(ctx)
+	p.record.Queued = time.Since(p.started)
+	if refusal != nil {
+		p.record.Outcome = string(refusal.Code)
+		return nil, refusal
+	}
+	p.grant = grant
+	if refusal := p.choose(ctx, verdict); refusal != nil {
+		grant.Release(0)
+		p.record.Outcome = string(refusal.Code)
+		return nil, refusal
+	}
+	p.begin()
+	return p, nil
+}
+
+func quarantined(until time.Time) *apierror.Error {
+	return apierror.New(http.StatusUnprocessableEntity, apierror.CodeQuarantined,
+		"this content crashed backend servers and is quarantined").Retry(time.Until(until))
+}
+
+// queue waits in the fair queue.
+func (w *work) queue(ctx context.Context) (Grant, *apierror.Error) {
+	ctx, span := startSpan(ctx, w.r, spanQueue)
+	defer span.End()
+	weight := w.r.view.Account.Weight
+	if weight <= 0 {
+		weight = 1
+	}
+	grant, err := w.r.gateway.Admission.Acquire(ctx, Ticket{
+		Account:  w.r.view.ID,
+		Weight:   weight,
+		Target:   w.target(),
+		Tokens:   w.tokens,
+		Deadline: w.r.deadline,
+	})
+	if err == nil {
+		return grant, nil
+	}
+	var given *AdmissionError
+	if errors.As(err, &given) && given.Deadline {
+		return nil, apierror.New(http.StatusServiceUnavailable, apierror.CodeDeadline, "the deadline can't be met").Retry(given.RetryAfter)
+	}
+	if errors.As(err, &given) {
+		return nil, apierror.New(http.StatusTooManyRequests, apierror.CodeOverloaded, "the client account's queue is full").Retry(given.RetryAfter)
+	}
+	return nil, gaveUp(ctx)
+}
+
+// gaveUp is the refusal for work that its context ended.
+func gaveUp(ctx context.Context) *apierror.Error {
+	if errors.Is(context.Cause(ctx), context.DeadlineExceeded) {
+		return apierror.New(http.StatusGatewayTimeout, apierror.CodeDeadline, "the deadline passed").Retry(failureRetry)
+	}
+	return apierror.New(499, apierror.CodeInterrupted, "the caller went away")
+}
+
+// choose checks the permission a last time and picks the server.
+func (p *placement) choose(ctx context.Context, verdict quarantine.Verdict) *apierror.Error {
+	if refusal := p.work.permit(); refusal != nil {
+		return refusal
+	}
+	server, refusal := p.pick(append(verdict.Avoid, p.work.excluded...))
+	if refusal != nil {
+		return refusal
+	}
+	p.server = server
+	if !verdict.Suspect {
+		return nil
+	}
+	return p.isolate(ctx)
+}
+
+func (p *placement) pick(excluded []string) (*datastore.Server, *apierror.Error) {
+	g := p.work.r.gateway
+	decision, err := scheduling.Pick(g.Data.Snapshot(), scheduling.Request{
+		Version:       p.work.version,
+		Service:       p.work.service,
+		Tokens:        p.work.tokens,
+		PrefixHash:    p.work.prefix,
+		Excluded:      excluded,
+		FailureDomain: g.FailureDomain,
+		Now:           time.Now(),
+	}, g.random())
+	if err != nil {
+		var none *scheduling.NoServerError
+		if errors.As(err, &none) {
+			p.record.Candidates = none.Candidates
+		}
+		return nil, apierror.New(http.StatusServiceUnavailable, apierror.CodeNoServer,
+			"no backend server for %s can take the request", p.work.target()).Retry(noServerRetry)
+	}
+	p.record.Candidates = decision.Candidates
+	return decision.Server, nil
+}
+
+// isolate finds a server on which suspect content runs as the only suspect.
+func (p *placement) isolate(ctx context.Context) *apierror.Error {
+	g := p.work.r.gateway
+	candidates := []string{p.server.ID}
+	for _, c := range p.record.Candidates {
+		if c.Server != p.server.ID {
+			candidates = append(candidates, c.Server)
+		}
+	}
+	id, err := g.Suspects.Place(ctx, p.work.content, p.id, candidates)
+	if errors.Is(err, quarantine.ErrQuarantined) {
+		return quarantined(g.Suspects.Check(p.work.content).Until)
+	}
+	server, known := g.Data.Snapshot().Servers[id]
+	if err != nil || !known {
+		return apierror.New(http.StatusServiceUnavailable, apierror.CodeNoServer,
+			"no backend server is free to retry this content alone").Retry(noServerRetry)
+	}
+	p.server = server
+	return nil
+}
+
+func (p *placement) begin() {
+	w := p.work
+	p.record.Server = p.server.ID
+	p.server.Begin(w.tokens)
+	p.instance = p.server.Status().Instance
+	w.r.gateway.Suspects.Begin(p.server.ID, p.instance, w.content, p.id)
+	w.r.fire(statechart.RequestSend)
+}
+
+// end gives back what the attempt held. Tokens are those really used.
+func (p *placement) end(err error, tokens int64) {
+	p.server.End(p.work.tokens)
+	p.work.r.gateway.Suspects.End(p.id, err == nil)
+	p.grant.Release(tokens)
+	p.record.Duration = time.Since(p.started)
+	p.record.Outcome = "answered"
+	if err != nil {
+		p.record.Outcome = err.Error()
+	}
+}
+
+// line adds the attempt to the request's bill.
+func (p *placement) line(usage backend.Usage, cost settings.MicroUnits, billed bool) {
+	p.work.r.lines = append(p.work.r.lines, billing.Line{
+		AttemptID:    p.id,
+		Target:       p.work.target(),
+		Server:       p.server.ID,
+		InputTokens:  usage.PromptTokens,
+		OutputTokens: usage.CompletionTokens,
+		Cost:         cost,
+		Billed:       billed,
+	})
+}
--- /dev/null
+++ b/internal/gateway/chat.go
@@ -0,0 +1,366 @@
+package gateway
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/google/uuid"
+
+	"github.com/basilrail/basilrail/internal/apierror"
+	"github.com/basilrail/basilrail/internal/backend"
+	"github.com/basilrail/basilrail/internal/quarantine"
+	"github.com/basilrail/basilrail/internal/session"
+	"github.com/basilrail/basilrail/internal/settings"
+	"github.com/basilrail/basilrail/internal/statechart"
+)
+
+// prefixBytes is how much of a prompt decides its prefix affinity.
+const prefixBytes = 1 << 10
+
+// ledgerFullRetry is when to come back while bills can't be stored.
+const ledgerFullRetry = 5 * time.Second
+
+// chat is one chat completion on its way.
+type chat struct {
+	*request
+	req     *chatRequest
+	task    string
+	prompt  string
+	session session.Session
+	// fresh is set when the session began with this request.
+	fresh bool
+	token string
+	plan  []PlanStep
+}
+
+// chat serves POST /v1/chat/completions.
+func (g *Gateway) chat(ctx context.Context, r *request) *apierror.Error {
+	c, refusal := g.classify(r)
+	if refusal != nil {
+		return refusal
+	}
+	r.fire(statechart.RequestClassify)
+	if err := g.Bills.Admit(); err != nil {
+		return ledgerFull()
+	}
+	g.Retries.Request()
+	r.fire(statechart.RequestAdmit)
+	if refusal := c.makePlan(); refusal != nil {
+		return refusal
+	}
+	r.fire(statechart.RequestPlan)
+	return c.run(ctx)
+}
+
+func ledgerFull() *apierror.Error {
+	return apierror.New(http.StatusServiceUnavailable, apierror.CodeStoreUnavailable, "bills can't be stored now").Retry(ledgerFullRetry)
+}
+
+// classify reads the request's body, task and session.
+func (g *Gateway) classify(r *request) (*chat, *apierror.Error) {
+	req, faults := parseChatRequest(r.body)
+	if len(faults) > 0 {
+		refusal := apierror.New(http.StatusBadRequest, apierror.CodeBadRequest, "the request body has %d faults", len(faults))
+		refusal.Findings = faults
+		return nil, refusal
+	}
+	c := &chat{request: r, req: req, task: r.http.Header.Get(HeaderTask), prompt: req.prompt()}
+	if c.task == "" {
+		c.task = settings.DefaultTask
+	}
+	r.record.Task = c.task
+	return c, c.openSession()
+}
+
+// openSession verifies the caller's token, or begins a session.
+func (c *chat) openSession() *apierror.Error {
+	token := c.http.Header.Get(HeaderSessionToken)
+	if token == "" {
+		c.session = session.Session{ID: uuid.NewString(), Account: c.view.ID, Pins: map[string]string{}}
+		c.fresh = true
+		return nil
+	}
+	keys := c.gateway.Data.Snapshot().Settings.Tree.Fleet.TokenKeys
+	opened, err := c.gateway.Tokens.Verify(token, c.view.ID, keys)
+	if err != nil {
+		return apierror.New(http.StatusUnauthorized, apierror.CodeSessionInvalid, "%v", err)
+	}
+	if opened.Pins == nil {
+		opened.Pins = map[string]string{}
+	}
+	c.session = opened
+	return nil
+}
+
+// versionOf returns the version of a model that the session uses. The version
+// is pinned when the session's first answer of that model is taken.
+func (c *chat) versionOf(snap *settings.Snapshot, model string) (settings.VersionRef, bool) {
+	if version, ok := c.session.Pins[model]; ok {
+		return settings.VersionRef{Model: model, Version: version}, true
+	}
+	return c.gateway.Versions.Choose(snap, c.view, c.session.ID, model)
+}
+
+// makePlan orders the versions to try.
+func (c *chat) makePlan() *apierror.Error {
+	snap := c.gateway.Data.Snapshot().Settings
+	cascade, candidates, refusal := c.candidates(snap)
+	if refusal != nil {
+		return refusal
+	}
+	input, output := c.req.estimate()
+	c.plan = c.gateway.Planner.Plan(PlanInput{
+		View:         c.view,
+		Task:         c.task,
+		Cascade:      cascade,
+		Candidates:   candidates,
+		InputTokens:  input,
+		OutputTokens: output,
+		Remaining:    time.Until(c.deadline),
+		Settings:     snap,
+	})
+	c.record.Plan = c.plan
+	if len(c.plan) == 0 {
+		return apierror.New(http.StatusForbidden, apierror.CodeVersionForbidden, "no version of %q may be used by this client account", c.req.model)
+	}
+	return nil
+}
+
+// candidates lists the versions that may answer: the one the caller names, or
+// those of the task's cascade. A pinned version that may no longer be used ends
+// the session; it is never exchanged silently.
+func (c *chat) candidates(snap *settings.Snapshot) (settings.Cascade, []settings.VersionRef, *apierror.Error) {
+	if c.req.model != autoModel {
+		ref, refusal := c.named(snap)
+		if refusal != nil {
+			return settings.Cascade{}, nil, refusal
+		}
+		return settings.Cascade{Models: []string{ref.Model}}, []settings.VersionRef{ref}, nil
+	}
+	cascade, ok := c.view.Cascade(c.task)
+	if !ok {
+		return cascade, nil, apierror.New(http.StatusBadRequest, apierror.CodeBadRequest, "the team has no cascade for task %q", c.task)
+	}
+	var refs []settings.VersionRef
+	for _, model := range cascade.Models {
+		ref, ok := c.versionOf(snap, model)
+		if !ok {
+			continue
+		}
+		if refusal := c.checkPin(ref); refusal != nil {
+			return cascade, nil, refusal
+		}
+		if (&work{r: c.request, version: ref}).permit() == nil {
+			refs = append(refs, ref)
+		}
+	}
+	return cascade, refs, nil
+}
+
+// named resolves the model that the caller asked for: "model" or "model@version".
+func (c *chat) named(snap *settings.Snapshot) (settings.VersionRef, *apierror.Error) {
+	ref, exact := settings.ParseVersionRef(c.req.model)
+	if !exact {
+		var ok bool
+		if ref, ok = c.versionOf(snap, c.req.model); !ok {
+			return ref, apierror.New(http.StatusForbidden, apierror.CodeVersionForbidden, "the client account may not use model %q", c.req.model)
+		}
+	}
+	if pin, ok := c.session.Pins[ref.Model]; ok && pin != ref.Version {
+		return ref, apierror.New(http.StatusConflict, apierror.CodeSessionInvalid, "the session keeps version %s of model %s", pin, ref.Model)
+	}
+	return ref, (&work{r: c.request, version: ref}).permit()
+}
+
+// checkPin refuses a session whose pinned version may no longer be used.
+func (c *chat) checkPin(ref settings.VersionRef) *apierror.Error {
+	if _, pinned := c.session.Pins[ref.Model]; !pinned {
+		return nil
+	}
+	return (&work{r: c.request, version: ref}).permit()
+}
+
+// run tries the plan's versions in order until an answer is taken.
+func (c *chat) run(ctx context.Context) *apierror.Error {
+	ctx, stop := c.limitTime(ctx)
+	defer stop()
+	for i, step := range c.plan {
+		last := i == len(c.plan)-1
+		taken, refusal := c.try(ctx, step, last)
+		if refusal != nil && (last || !c.canEscalate(refusal)) {
+			return refusal.WithRan(c.ran)
+		}
+		if taken {
+			return nil
+		}
+		if c.life.State() == statechart.RequestAttempting {
+			c.fire(statechart.RequestRetry)
+		}
+	}
+	return apierror.New(http.StatusBadGateway, apierror.CodeBackendFailed, "no version gave an acceptable answer").WithRan(c.ran)
+}
+
+// canEscalate tells whether a dearer version may still answer after a refusal
+// of a cheaper one.
+func (c *chat) canEscalate(refusal *apierror.Error) bool {
+	switch refusal.Code {
+	case apierror.CodeNoServer, apierror.CodeBackendFailed, apierror.CodeOverloaded:
+		return !c.record.Streaming
+	}
+	return false
+}
+
+// try runs one step; taken is false when the next step must answer.
+func (c *chat) try(ctx context.Context, step PlanStep, last bool) (taken bool, refusal *apierror.Error) {
+	w := c.workFor(step.Version)
+	if c.req.stream && (last || !step.Judge) {
+		return true, c.streamLive(ctx, w, step)
+	}
+	answer, refusal := c.complete(ctx, w)
+	if refusal != nil {
+		return false, refusal
+	}
+	c.fire(statechart.RequestAnswer)
+	if step.Judge && !last && !c.acceptable(ctx, step, answer) {
+		answer.placement.line(answer.usage, answer.cost, true)
+		c.fire(statechart.RequestEscalate)
+		return false, nil
+	}
+	c.fire(statechart.RequestAccept)
+	return true, c.deliver(ctx, step, answer)
+}
+
+func (c *chat) workFor(ref settings.VersionRef) *work {
+	input, output := c.req.estimate()
+	prefix := c.prompt
+	if len(prefix) > prefixBytes {
+		prefix = prefix[:prefixBytes]
+	}
+	return &work{
+		r:       c.request,
+		version: ref,
+		tokens:  int64(input + output),
+		prefix:  xxhash.Sum64String(prefix),
+		content: quarantine.FingerprintOf([]byte(c.prompt)),
+		// A chat changes nothing outside the engine.
+		idempotent: true,
+	}
+}
+
+// answer is a whole answer of one version.
+type answer struct {
+	placement *placement
+	version   settings.VersionRef
+	choices   []json.RawMessage
+	usage     backend.Usage
+	cost      settings.MicroUnits
+}
+
+// complete gets a whole answer from one version, with retries.
+func (c *chat) complete(ctx context.Context, w *work) (*answer, *apierror.Error) {
+	body, err := c.req.bodyFor(w.version, false)
+	if err != nil {
+		return nil, apierror.New(http.StatusInternalServerError, apierror.CodeInternal, "the request could not be encoded")
+	}
+	for {
+		p, refusal := w.place(ctx)
+		if refusal != nil {
+			return nil, refusal.WithRan(c.ran)
+		}
+		completion, err := c.sendWhole(ctx, p, body)
+		if err == nil {
+			return c.answered(p, completion), nil
+		}
+		if refusal := w.failed(ctx, p, err); refusal != nil {
+			return nil, refusal
+		}
+	}
+}
+
+func (c *chat) sendWhole(ctx context.Context, p *placement, body []byte) (*backend.Completion, error) {
+	ctx, span := startSpan(ctx, c.request, spanAttempt)
+	defer span.End()
+	completion, err := c.gateway.Backend.Complete(ctx, backend.Chat{
+		AttemptID: p.id,
+		Server:    p.server,
+		Body:      body,
+		Priority:  p.grant.Priority(),
+	})
+	var tokens int64
+	if err == nil {
+		tokens = int64(completion.Usage.PromptTokens + completion.Usage.CompletionTokens)
+	}
+	p.end(err, tokens)
+	return completion, err
+}
+
+func (c *chat) answered(p *placement, completion *backend.Completion) *answer {
+	c.sawFate(apierror.DidRun)
+	return &answer{
+		placement: p,
+		version:   p.work.version,
+		choices:   completion.Choices,
+		usage:     completion.Usage,
+		cost:      c.costOf(p.work.version, completion.Usage),
+	}
+}
+
+// tokensPerPrice is the number of tokens that a version's costs are given for.
+const tokensPerPrice = 1000
+
+// costOf prices an attempt, rounded up to whole micro-units.
+func (c *chat) costOf(ref settings.VersionRef, usage backend.Usage) settings.MicroUnits {
+	version, ok := c.gateway.Data.Snapshot().Settings.Version(ref)
+	if !ok {
+		return 0
+	}
+	sum := version.InputCost*settings.MicroUnits(usage.PromptTokens) +
+		version.OutputCost*settings.MicroUnits(usage.CompletionTokens)
+	return (sum + tokensPerPrice - 1) / tokensPerPrice
+}
+
+// settle pins the version, bills the answer and signs the session's token.
+func (c *chat) settle(ctx context.Context, p *placement, usage backend.Usage, cost settings.MicroUnits) {
+	p.line(usage, cost, true)
+	if err := c.bill(ctx); err != nil {
+		c.gateway.logBillDelayed(c.request, err)
+	}
+	c.fire(statechart.RequestBill)
+}
+
+// pin makes the session keep the version and puts the token into the headers.
+func (c *chat) pin(ref settings.VersionRef) {
+	c.session.Pins[ref.Model] = ref.Version
+	keys := c.gateway.Data.Snapshot().Settings.Tree.Fleet.TokenKeys
+	token, err := c.gateway.Tokens.Issue(c.session, keys)
+	if err != nil {
+		c.gateway.logTokenFailed(c.request, err)
+		return
+	}
+	c.w.Header().Set(HeaderSessionToken, token)
+	c.w.Header().Set(HeaderVersion, ref.String())
+}
+
+// deliver bills a whole answer and gives it to the caller.
+func (c *chat) deliver(ctx context.Context, step PlanStep, a *answer) *apierror.Error {
+	c.pin(a.version)
+	c.settle(ctx, a.placement, a.usage, a.cost)
+	c.sample(ctx, step, a.version, textOf(a.choices))
+	if c.req.stream {
+		return c.deliverEvents(a)
+	}
+	c.w.Header().Set(HeaderCost, c.total())
+	c.w.Header().Set("Content-Type", "application/json")
+	// The caller may be gone; the answer was given and billed.
+	_ = json.NewEncoder(c.w).Encode(completionBody{
+		ID:      c.id,
+		Object:  "chat.completion",
+		Model:   a.version.String(),
+		Choices: a.choices,
+		Usage:   a.usage,
+	})
+	return nil
+}
--- a/internal/gateway/chatrequest.go
+++ b/internal/gateway/chatrequest.go
@@ -1,8 +1,8 @@
 package gateway
 
 import (
-	"crypto/sha256"
 	"encoding/json"
+	"strconv"
 	"strings"
 
 	"github.com/basilrail/basilrail/internal/findings"
@@ -89,9 +89,10 @@
 	return b.String()
 }
 
-// bodyFor returns the request's JSON with the version as its model.
-func (r *chatRequest) bodyFor(ref settings.VersionRef) ([]byte, error) {
-	out := make(rawObject, len(r.raw)+1)
+// bodyFor returns the request's JSON with the version as its model, to be
+// answered whole or as a stream.
+func (r *chatRequest) bodyFor(ref settings.VersionRef, stream bool) ([]byte, error) {
+	out := make(rawObject, len(r.raw)+2)
 	for name, value := range r.raw {
 		out[name] = value
 	}
@@ -100,6 +101,7 @@
 		return nil, err
 	}
 	out["model"] = model
+	out["stream"] = json.RawMessage(strconv.FormatBool(stream))
 	return json.Marshal(out)
 }
 
@@ -111,8 +113,3 @@
 	}
 	return len(r.prompt())/bytesPerToken + 1, output
 }
-
-// fingerprint identifies the content, whoever sends it and however often.
-func (r *chatRequest) fingerprint() [sha256.Size]byte {
-	return sha256.Sum256([]byte(r.prompt()))
-}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/go-chi/chi/v5"
+	"go.opentelemetry.io/otel/trace"
 
 	"github.com/basilrail/basilrail/internal/apierror"
 	"github.com/basilrail/basilrail/internal/backend"
@@ -18,6 +19,7 @@
 	"github.com/basilrail/basilrail/internal/claim"
 	"github.com/basilrail/basilrail/internal/datastore"
 	"github.com/basilrail/basilrail/internal/events"
+	"github.com/basilrail/basilrail/internal/retry"
 	"github.com/basilrail/basilrail/internal/session"
 	"github.com/basilrail/basilrail/internal/settings"
 	"github.com/basilrail/basilrail/internal/statechart"
@@ -79,7 +81,7 @@
 	Planner    Planner
 	Admission  Admission
 	Suspects   Suspects
-	Retries    Retries
+	Retries    *retry.Retrier
 	Servers    ServerReports
 	Claims     Claims
 	Bills      Bills
@@ -87,6 +89,7 @@
 	Charts     *statechart.Set
 	Records    RecordSink
 	Log        *events.Logger
+	Tracer     trace.Tracer
 	Rand       *rand.Rand
 	StreamTime time.Duration
 	// FailureDomain is this instance's own.
--- /dev/null
+++ b/internal/gateway/judge.go
@@ -0,0 +1,78 @@
+package gateway
+
+import (
+	"context"
+	"encoding/json"
+	"strings"
+	"time"
+
+	"github.com/basilrail/basilrail/internal/events"
+	"github.com/basilrail/basilrail/internal/settings"
+)
+
+// sampleTimeout bounds a rating that no caller waits for.
+const sampleTimeout = 10 * time.Second
+
+// acceptable rates an answer. Without a rating the answer is not acceptable: a
+// dearer version is asked where the quality is not known.
+func (c *chat) acceptable(ctx context.Context, step PlanStep, a *answer) bool {
+	score, err := c.rate(ctx, a.version, textOf(a.choices))
+	if err != nil {
+		c.gateway.Log.Log(events.RatingUnavailable, events.Fields{RequestID: c.id, Version: a.version.String(), Err: err})
+		return false
+	}
+	a.placement.record.Score = &score
+	return score >= AcceptableScore
+}
+
+// rate asks the rating service and learns from its answer.
+func (c *chat) rate(ctx context.Context, ref settings.VersionRef, text string) (float64, error) {
+	ctx, span := startSpan(ctx, c.request, spanRating)
+	defer span.End()
+	score, err := c.gateway.Rater.Rate(ctx, Rating{Task: c.task, Prompt: c.prompt, Answer: text, Version: ref})
+	if err != nil {
+		return 0, err
+	}
+	acceptable := score >= AcceptableScore
+	c.gateway.Planner.Learn(c.view.ID, c.task, ref, acceptable)
+	c.gateway.Versions.Observe(ref, c.view.TeamName, acceptable)
+	return score, nil
+}
+
+// sample rates an answer that the caller already has, to learn from it. The
+// request does not wait for it; the shutdown does.
+func (c *chat) sample(ctx context.Context, step PlanStep, ref settings.VersionRef, text string) {
+	if !step.Sample {
+		return
+	}
+	c.gateway.inFlight.Go(func() {
+		ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), sampleTimeout)
+		defer cancel()
+		if _, err := c.rate(ctx, ref, text); err != nil {
+			c.gateway.Log.Log(events.RatingUnavailable, events.Fields{RequestID: c.id, Version: ref.String(), Err: err})
+		}
+	})
+}
+
+// choiceText is the part of a choice that holds its text, whole or streamed.
+type choiceText struct {
+	Message struct {
+		Content string `json:"content"`
+	} `json:"message"`
+	Delta struct {
+		Content string `json:"content"`
+	} `json:"delta"`
+}
+
+// textOf joins the texts of choices or of the chunks of one.
+func textOf(choices []json.RawMessage) string {
+	var b strings.Builder
+	for _, raw := range choices {
+		var choice choiceText
+		if json.Unmarshal(raw, &choice) == nil {
+			b.WriteString(choice.Message.Content)
+			b.WriteString(choice.Delta.Content)
+		}
+	}
+	return b.String()
+}
--- /dev/null
+++ b/internal/gateway/service.go
@@ -0,0 +1,266 @@
+package gateway
+
+import (
+	"bytes"
+	"context"
+	"crypto/sha256"
+	"net/http"
+	"slices"
+	"strings"
+
+	"github.com/go-chi/chi/v5"
+
+	"github.com/basilrail/basilrail/internal/apierror"
+	"github.com/basilrail/basilrail/internal/backend"
+	"github.com/basilrail/basilrail/internal/claim"
+	"github.com/basilrail/basilrail/internal/events"
+	"github.com/basilrail/basilrail/internal/quarantine"
+	"github.com/basilrail/basilrail/internal/settings"
+	"github.com/basilrail/basilrail/internal/statechart"
+)
+
+// serviceTokens is the estimated cost of a plain call in the fair queue.
+const serviceTokens = 100
+
+// passedHeaders are the caller's headers that a plain service gets.
+var passedHeaders = []string{"Content-Type", "Accept", HeaderIdempotencyKey}
+
+// answeredHeaders are a plain service's headers that the caller gets.
+var answeredHeaders = []string{"Content-Type", "Location"}
+
+// serviceCall is one call of a plain service on its way.
+type serviceCall struct {
+	*request
+	name       string
+	path       string
+	idempotent bool
+	// claimed is set once this request owns the permanent claim of its key.
+	claimed bool
+	service settings.Service
+}
+
+// service serves /v1/services/{service}/*.
+func (g *Gateway) service(ctx context.Context, r *request) *apierror.Error {
+	call, refusal := g.classifyCall(r)
+	if refusal != nil {
+		return refusal
+	}
+	r.fire(statechart.RequestClassify)
+	if err := g.Bills.Admit(); err != nil {
+		return ledgerFull()
+	}
+	g.Retries.Request()
+	r.fire(statechart.RequestAdmit)
+	r.fire(statechart.RequestPlan)
+	ctx, cancel := context.WithDeadlineCause(ctx, r.deadline, context.DeadlineExceeded)
+	defer cancel()
+	if call.idempotent {
+		return call.run(ctx)
+	}
+	return call.runOnce(ctx)
+}
+
+func (g *Gateway) classifyCall(r *request) (*serviceCall, *apierror.Error) {
+	name := chi.URLParam(r.http, "service")
+	snap := g.Data.Snapshot().Settings
+	if refusal := permitService(snap, r.view.ID, name); refusal != nil {
+		return nil, refusal
+	}
+	path := "/" + chi.URLParam(r.http, "*")
+	service := snap.Tree.Services[name]
+	call := &serviceCall{request: r, name: name, path: path, service: service}
+	call.idempotent = service.IsIdempotent(r.http.Method, path)
+	if !call.idempotent && r.key == "" {
+		return nil, apierror.New(http.StatusBadRequest, apierror.CodeKeyMissing, "this call needs the header %s", HeaderIdempotencyKey)
+	}
+	return call, nil
+}
+
+func permitService(snap *settings.Snapshot, account settings.AccountID, name string) *apierror.Error {
+	view, ok := snap.Account(account)
+	if !ok || !slices.Contains(view.Team.Services, name) {
+		return apierror.New(http.StatusForbidden, apierror.CodeForbidden, "the client account may not call service %q", name)
+	}
+	return nil
+}
+
+// fingerprint identifies the call's content.
+func (s *serviceCall) fingerprint() [sha256.Size]byte {
+	return sha256.Sum256(bytes.Join([][]byte{
+		[]byte(s.http.Method), []byte(s.name), []byte(s.path), []byte(s.http.URL.RawQuery), s.body,
+	}, []byte{0}))
+}
+
+// runOnce runs a non-idempotent call under its claim.
+func (s *serviceCall) runOnce(ctx context.Context) *apierror.Error {
+	result := s.acquire(ctx)
+	switch result.Status {
+	case claim.Owned:
+		s.claimed = true
+		s.fire(statechart.RequestClaim)
+		return s.run(ctx)
+	case claim.Completed:
+		s.fire(statechart.RequestReplay)
+		return s.replay(result.Outcome)
+	case claim.Pending:
+		return apierror.New(http.StatusConflict, apierror.CodeInProgress,
+			"an earlier request with this key was sent and its outcome is not known").WithRan(apierror.MayHaveRun).Retry(failureRetry)
+	case claim.Mismatch:
+		return apierror.New(http.StatusUnprocessableEntity, apierror.CodeKeyReused, "the key was used with another request")
+	}
+	if s.serversHonourKeys() {
+		return s.run(ctx)
+	}
+	return apierror.New(http.StatusServiceUnavailable, apierror.CodeStoreUnavailable,
+		"the call can't be claimed now").Retry(ledgerFullRetry)
+}
+
+func (s *serviceCall) acquire(ctx context.Context) claim.Result {
+	ctx, span := startSpan(ctx, s.request, spanClaim)
+	defer span.End()
+	return s.gateway.Claims.Acquire(ctx, s.claimKey(), s.fingerprint(), s.id)
+}
+
+func (s *serviceCall) claimKey() claim.Key {
+	return claim.Key{Account: s.view.ID, RequestKey: s.key}
+}
+
+// serversHonourKeys tells whether every backend server of the service is
+// declared to run a key at most once by itself.
+func (s *serviceCall) serversHonourKeys() bool {
+	servers := s.gateway.Data.Snapshot().ForService(s.name)
+	for _, server := range servers {
+		if !server.Settings.Traits.HonoursKeys {
+			return false
+		}
+	}
+	return len(servers) > 0
+}
+
+// replay gives the recorded outcome of an earlier request.
+func (s *serviceCall) replay(outcome *claim.Outcome) *apierror.Error {
+	s.w.Header().Set(HeaderReplayed, "true")
+	s.write(outcome.Status, outcome.Header, outcome.Body)
+	return nil
+}
+
+func (s *serviceCall) write(status int, header http.Header, body []byte) {
+	for _, name := range answeredHeaders {
+		if value := header.Get(name); value != "" {
+			s.w.Header().Set(name, value)
+		}
+	}
+	s.w.WriteHeader(status)
+	// The caller may be gone; the call ran and is recorded.
+	_, _ = s.w.Write(body)
+}
+
+// run sends the call, again only where that can't run it twice.
+func (s *serviceCall) run(ctx context.Context) *apierror.Error {
+	content := s.fingerprint()
+	w := &work{
+		r:       s.request,
+		service: s.name,
+		tokens:  serviceTokens,
+		content: quarantine.FingerprintOf(content[:]),
+
+		idempotent: s.idempotent,
+	}
+	for {
+		p, refusal := w.place(ctx)
+		if refusal != nil {
+			return s.unsent(ctx, refusal.WithRan(s.ran))
+		}
+		answer, err := s.send(ctx, p)
+		if err == nil {
+			return s.answered(ctx, p, answer)
+		}
+		if refusal := w.failed(ctx, p, err); refusal != nil {
+			return s.unsent(ctx, refusal)
+		}
+	}
+}
+
+// unsent gives the claim back when the call surely did not run, so that the
+// caller may come back with the same key.
+func (s *serviceCall) unsent(ctx context.Context, refusal *apierror.Error) *apierror.Error {
+	if !s.claimed || s.ran != apierror.NotRun {
+		return refusal
+	}
+	err := s.gateway.Claims.Release(context.WithoutCancel(ctx), s.claimKey(), s.id)
+	if err != nil {
+		s.gateway.Log.Log(events.RequestClaimKept, events.Fields{RequestID: s.id, Account: s.view.ID, Err: err})
+	}
+	return refusal
+}
+
+func (s *serviceCall) send(ctx context.Context, p *placement) (*backend.Answer, error) {
+	ctx, span := startSpan(ctx, s.request, spanAttempt)
+	defer span.End()
+	answer, err := s.gateway.Backend.Do(ctx, backend.Call{
+		AttemptID: p.id,
+		Server:    p.server,
+		Method:    s.http.Method,
+		Path:      s.target(),
+		Header:    s.headers(),
+		Body:      s.body,
+	})
+	p.end(err, serviceTokens)
+	return answer, err
+}
+
+// target is the path and query on the backend server.
+func (s *serviceCall) target() string {
+	if s.http.URL.RawQuery == "" {
+		return s.path
+	}
+	return s.path + "?" + s.http.URL.RawQuery
+}
+
+func (s *serviceCall) headers() http.Header {
+	header := make(http.Header)
+	for _, name := range passedHeaders {
+		if value := s.http.Header.Get(name); value != "" && !strings.ContainsAny(value, "\r\n") {
+			header.Set(name, value)
+		}
+	}
+	return header
+}
+
+// answered records the outcome, bills the call and answers.
+func (s *serviceCall) answered(ctx context.Context, p *placement, answer *backend.Answer) *apierror.Error {
+	s.sawFate(apierror.DidRun)
+	s.fire(statechart.RequestAnswer)
+	s.fire(statechart.RequestAccept)
+	if s.claimed {
+		s.complete(ctx, answer)
+	}
+	p.line(backend.Usage{}, s.service.CallCost, answer.Status < http.StatusInternalServerError)
+	if err := s.bill(ctx); err != nil {
+		s.gateway.logBillDelayed(s.request, err)
+	}
+	s.fire(statechart.RequestBill)
+	s.w.Header().Set(HeaderCost, s.total())
+	s.write(answer.Status, answer.Header, answer.Body)
+	return nil
+}
+
+// complete records the outcome under the claim. A delayed write is retried by
+// the claim service; until then others are told that the call may have run.
+func (s *serviceCall) complete(ctx context.Context, answer *backend.Answer) {
+	header := make(http.Header)
+	for _, name := range answeredHeaders {
+		if value := answer.Header.Get(name); value != "" {
+			header.Set(name, value)
+		}
+	}
+	err := s.gateway.Claims.Complete(context.WithoutCancel(ctx), s.claimKey(), s.id, claim.Outcome{
+		Status:    answer.Status,
+		Header:    header,
+		Body:      answer.Body,
+		RequestID: s.id,
+	})
+	if err != nil {
+		s.gateway.Log.Log(events.RequestOutcomeDelayed, events.Fields{RequestID: s.id, Account: s.view.ID, Err: err})
+	}
+}
--- a/internal/gateway/sse.go
+++ b/internal/gateway/sse.go
@@ -39,6 +39,12 @@
 	return &eventWriter{w: w, control: http.NewResponseController(w)}
 }
 
+// resume makes a writer for an event stream whose headers were sent.
+func (e *eventWriter) resume() *eventWriter {
+	e.started = true
+	return e
+}
+
 // start sends the headers; later calls do nothing.
 func (e *eventWriter) start() {
 	if e.started {
--- a/internal/retry/retrier.go
+++ b/internal/retry/retrier.go
@@ -29,8 +29,11 @@
 	rand   *rand.Rand
 }
 
-// New makes a Retrier with an empty budget.
-func New(r *rand.Rand) *Retrier { return &Retrier{rand: r} }
+// New makes a Retrier whose budget begins full, so that an instance that has
+// just started can retry its first requests.
+func New(r *rand.Rand) *Retrier {
+	return &Retrier{budget: Budget{tokens: maxTokens}, rand: r}
+}
 
 // Request counts a new request; call it once for each, before its first attempt.
 func (r *Retrier) Request() { r.budget.Request() }
