Keep the settings in force: conditional commits, peers, vouching

Cause: an accepted change must be in force everywhere within 6 s and never revert, through store outages, lost answers, operator races and cut-off instances.

One transaction a commit, conditional on the head row and on the change id being new; so two copies of a lost write take effect at most once, and the change id settles it from any instance. Per-document conditions in the table were ruled out: the head condition implies them, and documents of one tree are checked together, so that two valid changes may make an invalid tree. Broadcasting whole changes was ruled out for its bytes at 1,200 instances; a hint of a few bytes goes to connected peers, who fetch the delta once.

--- /dev/null
+++ b/internal/configsync/configsync_test.go
@@ -0,0 +1,311 @@
+package configsync
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/basilrail/basilrail/internal/platform"
+	"github.com/basilrail/basilrail/internal/platform/memtable"
+	"github.com/basilrail/basilrail/internal/settings"
+)
+
+// inForceWithin is the time in which a change must be in force everywhere.
+const inForceWithin = 6 * time.Second
+
+var background = context.Background()
+
+func TestChangeIsInForceEverywhereInTime(t *testing.T) {
+	testCases := []struct {
+		desc    string
+		prepare func(f *fleet)
+	}{
+		{desc: "all well", prepare: func(*fleet) {}},
+		{desc: "no peer reaches another", prepare: func(f *fleet) {
+			for i := range f.nodes {
+				f.network.Cut(nodeID(i), true)
+			}
+		}},
+		{desc: "one instance alone reaches the store", prepare: func(f *fleet) {
+			for _, n := range f.nodes[1:] {
+				n.table.cut.Store(true)
+			}
+		}},
+		{desc: "slow store", prepare: func(f *fleet) { f.table.SetFaults(memtable.Faults{Delay: time.Second}) }},
+	}
+	for _, tc := range testCases {
+		t.Run(tc.desc, func(t *testing.T) {
+			inBubble(t, 9, func(t *testing.T, f *fleet) {
+				tc.prepare(f)
+				time.Sleep(time.Minute)
+				result, err := f.nodes[0].Apply(background, f.change(modelDoc("m", 7, 1)))
+				require.NoError(t, err)
+				took := f.waitFor(t, result.Revision, f.nodes...)
+				assert.LessOrEqual(t, took, inForceWithin)
+				for _, n := range f.nodes {
+					ok, reason, _ := n.Vouch()
+					assert.True(t, ok, reason)
+				}
+			})
+		})
+	}
+}
+
+func TestOperatorsRace(t *testing.T) {
+	inBubble(t, 3, func(t *testing.T, f *fleet) {
+		_, err := f.nodes[0].Apply(background, f.change(modelDoc("m", 1, 1)))
+		require.NoError(t, err)
+		_, err = f.nodes[1].Apply(background, f.change(modelDoc("m", 2, 1)))
+		var conflict *ConflictError
+		require.ErrorAs(t, err, &conflict)
+		require.Len(t, conflict.Conflicts, 1)
+		assert.Equal(t, "@@ -1,3 +1,3 @@\n versions:\n   v1:\n-    input_cost: 1\n+    input_cost: 2\n", conflict.Conflicts[0].Diff.Text)
+		assert.Equal(t, uint64(2), conflict.Conflicts[0].Current.Revision)
+
+		result, err := f.nodes[2].Apply(background, f.change(modelDoc("n", 3, 1)))
+		require.NoError(t, err, "another document is no conflict")
+		assert.Equal(t, uint64(3), result.Revision)
+	})
+}
+
+func TestOperatorsRaceAtTheSameInstant(t *testing.T) {
+	inBubble(t, 9, func(t *testing.T, f *fleet) {
+		f.table.SetFaults(memtable.Faults{Delay: 10 * time.Millisecond})
+		errs := make(chan error, len(f.nodes))
+		for i, n := range f.nodes {
+			change := f.change(modelDoc("m", i+1, 1))
+			go func() {
+				_, err := n.Apply(background, change)
+				errs <- err
+			}()
+		}
+		won := 0
+		for range f.nodes {
+			err := <-errs
+			var conflict *ConflictError
+			if err == nil {
+				won++
+			} else {
+				require.ErrorAs(t, err, &conflict)
+			}
+		}
+		assert.Equal(t, 1, won)
+	})
+}
+
+func TestLostAnswerIsSettledByTheChangeID(t *testing.T) {
+	inBubble(t, 3, func(t *testing.T, f *fleet) {
+		f.table.SetFaults(memtable.Faults{LoseAnswers: true})
+		change := f.change(modelDoc("m", 5, 1))
+		result, err := f.nodes[0].Apply(background, change)
+		require.NoError(t, err)
+		assert.Equal(t, ApplyResult{ChangeID: change.ID, Revision: 2, Replayed: true}, result)
+
+		again, err := f.nodes[1].Apply(background, change)
+		require.NoError(t, err)
+		assert.Equal(t, result, again, "a resent change returns the first result")
+
+		change.Documents[0].Body = modelDoc("m", 6, 1).Body
+		_, err = f.nodes[1].Apply(background, change)
+		require.ErrorIs(t, err, ErrChangeIDReused)
+	})
+}
+
+func TestWriteThatNeverSettlesIsUnknown(t *testing.T) {
+	inBubble(t, 2, func(t *testing.T, f *fleet) {
+		f.table.SetFaults(memtable.Faults{DropWrites: true})
+		_, err := f.nodes[0].Apply(background, f.change(modelDoc("m", 5, 1)))
+		var unknown *UnknownError
+		require.ErrorAs(t, err, &unknown)
+	})
+}
+
+func TestInstanceDiesBetweenCommitAndAnswer(t *testing.T) {
+	inBubble(t, 3, func(t *testing.T, f *fleet) {
+		change := f.change(modelDoc("m", 5, 1))
+		ctx, cancel := context.WithCancel(background)
+		f.table.OnCommit(func(platform.Txn) {
+			f.table.SetFaults(memtable.Faults{LoseAnswers: true})
+			f.cut(0, true)
+			cancel()
+			f.nodes[0].stop()
+		})
+		f.table.SetFaults(memtable.Faults{LoseAnswers: true})
+		_, err := f.nodes[0].Apply(ctx, change)
+		var unknown *UnknownError
+		require.ErrorAs(t, err, &unknown)
+
+		f.table.OnCommit(nil)
+		result, err := f.nodes[1].Apply(background, change)
+		require.NoError(t, err)
+		assert.Equal(t, ApplyResult{ChangeID: change.ID, Revision: 2, Replayed: true}, result)
+		assert.LessOrEqual(t, f.waitFor(t, 2, f.nodes[1:]...), inForceWithin)
+	})
+}
+
+func TestCutOffInstanceRefuses(t *testing.T) {
+	inBubble(t, 9, func(t *testing.T, f *fleet) {
+		f.cut(4, true)
+		result, err := f.nodes[0].Apply(background, f.change(modelDoc("m", 5, 1)))
+		require.NoError(t, err)
+		time.Sleep(FreshFor + time.Millisecond)
+		for i, n := range f.nodes {
+			ok, _, retryAfter := n.Vouch()
+			assert.Equal(t, i != 4, ok, "instance %d", i)
+			assert.Equal(t, ok, retryAfter == 0)
+		}
+		f.cut(4, false)
+		f.waitFor(t, result.Revision, f.nodes[4])
+		time.Sleep(2 * time.Second)
+		ok, reason, _ := f.nodes[4].Vouch()
+		assert.True(t, ok, reason)
+	})
+}
+
+func TestStoreOutage(t *testing.T) {
+	testCases := []struct {
+		desc      string
+		cutPeers  []int
+		wantVouch bool
+	}{
+		{desc: "every instance is heard", wantVouch: true},
+		{desc: "one listed instance is not heard", cutPeers: []int{3}},
+	}
+	for _, tc := range testCases {
+		t.Run(tc.desc, func(t *testing.T) {
+			inBubble(t, 9, func(t *testing.T, f *fleet) {
+				f.table.SetFaults(memtable.Faults{Down: true})
+				for _, index := range tc.cutPeers {
+					f.network.Cut(nodeID(index), true)
+				}
+				time.Sleep(FreshFor + 2*time.Second)
+				for range 300 {
+					time.Sleep(2 * time.Second)
+					for i, n := range f.nodes {
+						ok, reason, _ := n.Vouch()
+						require.Equal(t, tc.wantVouch, ok, "instance %d: %s", i, reason)
+					}
+				}
+				_, err := f.nodes[0].Apply(background, f.change(modelDoc("m", 5, 1)))
+				require.ErrorIs(t, err, ErrUnavailable)
+			})
+		})
+	}
+}
+
+func TestCommitInDoubtEndsVouchingInAnOutage(t *testing.T) {
+	inBubble(t, 3, func(t *testing.T, f *fleet) {
+		f.table.OnCommit(func(platform.Txn) { f.table.SetFaults(memtable.Faults{Down: true}) })
+		f.table.SetFaults(memtable.Faults{LoseAnswers: true})
+		_, err := f.nodes[0].Apply(background, f.change(modelDoc("m", 5, 1)))
+		var unknown *UnknownError
+		require.ErrorAs(t, err, &unknown)
+		time.Sleep(FreshFor)
+		for i, n := range f.nodes {
+			ok, _, _ := n.Vouch()
+			assert.False(t, ok, "instance %d vouches for revision %d, but revision 2 is committed", i, n.Snapshot().Revision)
+		}
+		f.table.OnCommit(nil)
+		f.table.SetFaults(memtable.Faults{})
+		f.waitFor(t, 2, f.nodes...)
+		time.Sleep(2 * time.Second)
+		ok, reason, _ := f.nodes[2].Vouch()
+		assert.True(t, ok, reason)
+	})
+}
+
+func TestStartInAnOutage(t *testing.T) {
+	inBubble(t, 4, func(t *testing.T, f *fleet) {
+		result, err := f.nodes[0].Apply(background, f.change(modelDoc("m", 5, 1)))
+		require.NoError(t, err)
+		f.waitFor(t, result.Revision, f.nodes...)
+		f.table.SetFaults(memtable.Faults{Down: true})
+
+		joined := f.join()
+		f.waitFor(t, result.Revision, joined)
+		time.Sleep(3 * time.Second)
+		ok, reason, _ := joined.Vouch()
+		assert.True(t, ok, reason)
+		assert.Equal(t, settings.MicroUnits(5), joined.Snapshot().Tree.Models["m"].Versions["v1"].InputCost)
+
+		alone := f.join()
+		f.network.Cut(nodeID(5), true)
+		time.Sleep(time.Minute)
+		ok, reason, _ = alone.Vouch()
+		assert.False(t, ok)
+		assert.Equal(t, "settings are not loaded yet", reason)
+	})
+}
+
+func TestCommittedRevisionThatCanNotBeRead(t *testing.T) {
+	inBubble(t, 2, func(t *testing.T, f *fleet) {
+		entry := logEntry{Revision: 2, ChangeID: "x", Documents: []settings.Document{
+			{Path: "/models/m", Body: []byte("field_of_a_later_program: 1\n"), Revision: 2},
+		}}
+		f.table.Commit(background, platform.Txn{Mutations: []platform.Mutation{{Key: logKey(2), Value: encode(entry)}}})
+		time.Sleep(2 * time.Second)
+		for _, n := range f.nodes {
+			ok, reason, _ := n.Vouch()
+			assert.False(t, ok)
+			assert.Contains(t, reason, "can't be read")
+			assert.Equal(t, uint64(1), n.Snapshot().Revision)
+		}
+	})
+}
+
+func TestLateInstanceLoadsBeyondTheLog(t *testing.T) {
+	inBubble(t, 1, func(t *testing.T, f *fleet) {
+		_, err := f.nodes[0].Apply(background, f.change(modelDoc("n", 1, 1), modelDoc("m", 3, 1)))
+		require.NoError(t, err)
+		f.table.Commit(background, platform.Txn{Mutations: []platform.Mutation{{Key: logKey(1), Delete: true}}})
+		joined := f.join()
+		f.waitFor(t, 2, joined)
+		docs, revision := joined.Documents("/models/m")
+		assert.Equal(t, uint64(2), revision)
+		assert.Equal(t, []settings.Document{modelDoc("m", 3, 2)}, docs)
+	})
+}
+
+func TestStatusNamesWhoLags(t *testing.T) {
+	inBubble(t, 3, func(t *testing.T, f *fleet) {
+		f.nodes[2].table.cut.Store(true)
+		f.network.Cut(nodeID(2), true)
+		result, err := f.nodes[0].Apply(background, f.change(modelDoc("m", 5, 1)))
+		require.NoError(t, err)
+		f.waitFor(t, result.Revision, f.nodes[:2]...)
+		status := f.nodes[0].Status(background)
+		assert.Equal(t, "entry-2", status[0].ID)
+		assert.True(t, status[0].Lagging)
+		assert.False(t, status[1].Lagging || status[2].Lagging)
+	})
+}
+
+func TestApplyFindsFaultsOfTheWholeTree(t *testing.T) {
+	inBubble(t, 1, func(t *testing.T, f *fleet) {
+		_, err := f.nodes[0].Apply(background, f.change(
+			settings.Document{Path: "/teams/t", Body: []byte("deadline: 1s\nmodels: {gone: {stable: v1, allowed: [v1]}}\ncascades: {default: {models: [gone]}}\n")},
+		))
+		require.EqualError(t, err, `/teams/t:2: model "gone" does not exist`)
+	})
+}
+
+func TestPollInterval(t *testing.T) {
+	testCases := []struct {
+		desc          string
+		listed, heard int
+		want          time.Duration
+	}{
+		{desc: "nine instances", listed: 9, heard: 9, want: time.Second},
+		{desc: "1,200 instances read 100 times a second", listed: 1200, heard: 1200, want: 12 * time.Second},
+		{desc: "cut off from all peers", listed: 1200, heard: 1, want: 2 * time.Second},
+		{desc: "three together, cut off from the rest", listed: 1200, heard: 3, want: 6 * time.Second},
+	}
+	for _, tc := range testCases {
+		t.Run(tc.desc, func(t *testing.T) {
+			assert.Equal(t, tc.want, pollInterval(tc.listed, tc.heard))
+		})
+	}
+}
--- /dev/null
+++ b/internal/configsync/fleet_test.go
@@ -0,0 +1,156 @@
+package configsync
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/basilrail/basilrail/internal/peers/membus"
+	"github.com/basilrail/basilrail/internal/platform"
+	"github.com/basilrail/basilrail/internal/platform/memtable"
+	"github.com/basilrail/basilrail/internal/settings"
+)
+
+// reachable is a table that one instance can be cut off from.
+type reachable struct {
+	platform.Table
+	cut atomic.Bool
+}
+
+func (r *reachable) Commit(ctx context.Context, txn platform.Txn) platform.Result {
+	if r.cut.Load() {
+		return platform.Result{Outcome: platform.OutcomeNotApplied}
+	}
+	return r.Table.Commit(ctx, txn)
+}
+
+func (r *reachable) Get(ctx context.Context, keys ...string) ([]platform.Row, error) {
+	if r.cut.Load() {
+		return nil, platform.ErrUnavailable
+	}
+	return r.Table.Get(ctx, keys...)
+}
+
+func (r *reachable) Scan(ctx context.Context, prefix, after string, limit int) ([]platform.Row, error) {
+	if r.cut.Load() {
+		return nil, platform.ErrUnavailable
+	}
+	return r.Table.Scan(ctx, prefix, after, limit)
+}
+
+type node struct {
+	*Syncer
+	table *reachable
+	stop  context.CancelFunc
+	// revisions are those put in force, in order.
+	revisions []uint64
+}
+
+// fleet is several instances on one table and one network, in a bubble.
+type fleet struct {
+	table   *memtable.Table
+	network *membus.Network
+	nodes   []*node
+	changes int
+}
+
+func newFleet(size int) *fleet {
+	f := &fleet{table: memtable.New(), network: membus.New()}
+	for range size {
+		f.join()
+	}
+	return f
+}
+
+// join adds an instance and runs it.
+func (f *fleet) join() *node {
+	index := len(f.nodes)
+	n := &node{table: &reachable{Table: f.table}}
+	n.Syncer = New(Options{
+		Table:    n.table,
+		Bus:      f.network.Join(nodeID(index), fmt.Sprintf("hall-%d", index%3)),
+		Rand:     rand.New(rand.NewPCG(1, uint64(index))),
+		OnChange: func(s *settings.Snapshot) { n.revisions = append(n.revisions, s.Revision) },
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	n.stop = cancel
+	go n.Run(ctx)
+	f.nodes = append(f.nodes, n)
+	return n
+}
+
+func nodeID(index int) string { return fmt.Sprintf("entry-%d", index) }
+
+// cut separates an instance from its peers, and from the store too.
+func (f *fleet) cut(index int, cut bool) {
+	f.network.Cut(nodeID(index), cut)
+	f.nodes[index].table.cut.Store(cut)
+}
+
+func (f *fleet) stop() {
+	for _, n := range f.nodes {
+		n.stop()
+	}
+	synctest.Wait()
+}
+
+func (f *fleet) change(docs ...settings.Document) settings.Change {
+	f.changes++
+	return settings.Change{ID: fmt.Sprintf("change-%d", f.changes), Author: "op", Documents: docs}
+}
+
+// setUp commits the first settings and waits until every instance has them.
+func (f *fleet) setUp(t testing.TB) {
+	t.Helper()
+	result, err := f.nodes[0].Apply(context.Background(), f.change(baseDocs()...))
+	require.NoError(t, err)
+	require.Equal(t, uint64(1), result.Revision)
+	f.waitFor(t, 1, f.nodes...)
+}
+
+// waitFor waits until the instances have a revision, for a minute at most.
+func (f *fleet) waitFor(t testing.TB, revision uint64, nodes ...*node) time.Duration {
+	t.Helper()
+	start := time.Now()
+	for _, n := range nodes {
+		for n.Snapshot().Revision < revision {
+			require.Less(t, time.Since(start), time.Minute, "revision %d never came into force", revision)
+			time.Sleep(10 * time.Millisecond)
+		}
+	}
+	return time.Since(start)
+}
+
+func baseDocs() []settings.Document {
+	return []settings.Document{
+		{Path: "/fleet", Body: []byte("region: r\nfailure_domains: [hall-0]\ntoken_keys: [{id: k1}]\noperators:\n" +
+			"- {name: op, key_sha256: " + settings.HashKey("op") + ", role: editor, subtree: /}\n")},
+		modelDoc("m", 0, 0),
+		modelDoc("n", 0, 0),
+	}
+}
+
+// modelDoc is a model whose cost tells bodies apart.
+func modelDoc(name string, cost int, madeFrom uint64) settings.Document {
+	return settings.Document{
+		Path:     settings.ModelPath(name),
+		Body:     fmt.Appendf(nil, "versions:\n  v1:\n    input_cost: %d\n", cost),
+		Revision: madeFrom,
+	}
+}
+
+func inBubble(t *testing.T, size int, test func(t *testing.T, f *fleet)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(size)
+		defer f.stop()
+		f.setUp(t)
+		test(t, f)
+	})
+}
--- /dev/null
+++ b/internal/configsync/status.go
@@ -0,0 +1,106 @@
+package configsync
+
+import (
+	"context"
+	"math"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"github.com/basilrail/basilrail/internal/peers"
+)
+
+// statusConcurrency is the number of peers asked for their status at once.
+const statusConcurrency = 32
+
+// InstanceStatus is what one entry instance reports of its settings.
+type InstanceStatus struct {
+	ID            string `json:"id"`
+	FailureDomain string `json:"failure_domain,omitempty"`
+	// Reachable is false if the instance did not answer; the rest is then empty.
+	Reachable bool   `json:"reachable"`
+	Revision  uint64 `json:"revision"`
+	// Lagging is whether another instance has a later revision in force.
+	Lagging bool `json:"lagging"`
+	// Current is whether the instance can vouch for its settings.
+	Current bool `json:"current"`
+	// AgeMillis is the time since the settings were surely current; negative for unknown.
+	AgeMillis int64 `json:"age_ms"`
+	// StoreReached is whether its last read of the table service succeeded.
+	StoreReached bool `json:"store_reached"`
+}
+
+// Status asks every listed instance for its revision, and puts those that lag
+// or don't answer first.
+func (s *Syncer) Status(ctx context.Context) []InstanceStatus {
+	listed := s.opts.Bus.Peers()
+	all := []InstanceStatus{s.ownStatus()}
+	var mu sync.Mutex
+	var group errgroup.Group
+	group.SetLimit(statusConcurrency)
+	for _, peer := range listed {
+		group.Go(func() error {
+			status := s.statusOf(ctx, peer)
+			mu.Lock()
+			defer mu.Unlock()
+			all = append(all, status)
+			return nil
+		})
+	}
+	_ = group.Wait()
+	markLagging(all)
+	return all
+}
+
+func (s *Syncer) ownStatus() InstanceStatus {
+	status := statusFrom(s.opts.Bus.Self(), s.reply(fetchRequest{Since: math.MaxUint64}))
+	status.Current = s.doubt() == ""
+	return status
+}
+
+func (s *Syncer) statusOf(ctx context.Context, peer peers.Peer) InstanceStatus {
+	reply, err := s.fetch(ctx, peer.ID, fetchRequest{Since: math.MaxUint64})
+	if err != nil {
+		return InstanceStatus{ID: peer.ID, FailureDomain: peer.FailureDomain, AgeMillis: -1}
+	}
+	status := statusFrom(peer.ID, reply)
+	status.FailureDomain = peer.FailureDomain
+	return status
+}
+
+func statusFrom(id string, reply fetchReply) InstanceStatus {
+	return InstanceStatus{
+		ID:           id,
+		Reachable:    true,
+		Revision:     reply.Revision,
+		Current:      reply.Loaded && reply.FreshMillis >= 0 && reply.FreshMillis <= FreshFor.Milliseconds(),
+		AgeMillis:    reply.FreshMillis,
+		StoreReached: reply.Loaded && !reply.StoreDown,
+	}
+}
+
+// markLagging compares with the newest revision and sorts.
+func markLagging(all []InstanceStatus) {
+	var newest uint64
+	for _, status := range all {
+		newest = max(newest, status.Revision)
+	}
+	for i := range all {
+		all[i].Lagging = !all[i].Reachable || all[i].Revision < newest
+	}
+	slices.SortFunc(all, func(a, b InstanceStatus) int {
+		if a.Lagging != b.Lagging {
+			if a.Lagging {
+				return -1
+			}
+			return 1
+		}
+		return strings.Compare(a.ID, b.ID)
+	})
+}
+
+// Age is the time since the settings in force were surely current.
+func (s *Syncer) Age() time.Duration { return s.age() }
