--- a/internal/cascade/plan.go
+++ b/internal/cascade/plan.go
@@ -4,8 +4,10 @@
 // An answer is either judged, which means rated before the caller gets it and
 // replaced by the next version's where it is not acceptable, or served as it
 // is. A version serves unjudged only if it is trusted or if the lower
-// confidence bound of its pass chance meets the target, so the target holds in
-// each client account whether or not every answer is rated.
+// confidence bound of its pass chance meets the target, or falls short of it by
+// no more than the judged answers of the same client account and task are
+// known to be better. So the target holds in each client account and task,
+// whether or not every answer is rated.
 package cascade
 
 import (
@@ -61,6 +63,9 @@
 	Candidates []Candidate
 	// Target is the fraction of answers that must be acceptable, 0 to 1.
 	Target float64
+	// Allowance is how far below the target an unjudged answer's chance may
+	// be, because earlier judged ones were above it.
+	Allowance float64
 	// Remaining is the time to the deadline; zero for none.
 	Remaining time.Duration
 	Rating    Rating
@@ -85,6 +90,8 @@
 	ExpectedCost settings.MicroUnits
 	// Quality is the lower bound of the chance of an acceptable answer.
 	Quality float64
+	// Shortfall is the part of the allowance that the plan uses.
+	Shortfall float64
 	// MeetsTarget is false when no allowed order reaches the target in time;
 	// Steps is then the order of the highest quality.
 	MeetsTarget bool
@@ -105,6 +112,7 @@
 const (
 	ServesTrusted   Why = "serves: trusted"
 	ServesProven    Why = "serves unjudged: the lower bound of its pass chance meets the target"
+	ServesAllowance Why = "serves unjudged: short of the target by less than judged answers were above it"
 	ServesBest      Why = "serves: no order reaches the target in time"
 	TriedAndJudged  Why = "tried first and judged: lowers the expected cost"
 	SkippedTime     Why = "skipped: too slow for the deadline"
@@ -118,7 +126,9 @@
 	cost     float64
 	quality  float64
 	duration time.Duration
-	meets    bool
+	// shortfall is how far the last candidate's chance is below the target.
+	shortfall float64
+	meets     bool
 }
 
 // Build returns the order of the lowest expected cost that meets the target
@@ -179,7 +189,8 @@
 		worst *= 1 - candidate.Pass.Lower
 	}
 	last := &in.Candidates[c.members[len(c.members)-1]]
-	c.meets = last.Trusted || last.Pass.Lower >= in.Target
+	c.shortfall = max(0, in.Target-last.lower())
+	c.meets = c.shortfall <= in.Allowance
 	return c
 }
 
@@ -284,6 +295,7 @@
 	plan := Plan{
 		ExpectedCost: settings.MicroUnits(math.Round(c.cost)),
 		Quality:      c.quality,
+		Shortfall:    c.shortfall,
 		MeetsTarget:  c.meets && in.inTime(c),
 	}
 	for k, i := range c.members {
@@ -318,8 +330,10 @@
 	switch {
 	case i == last && candidate.Trusted:
 		return ServesTrusted
-	case i == last && c.meets:
+	case i == last && c.shortfall == 0:
 		return ServesProven
+	case i == last && c.meets:
+		return ServesAllowance
 	case i == last:
 		return ServesBest
 	case slices.Contains(c.members, i):
--- a/internal/cascade/planner.go
+++ b/internal/cascade/planner.go
@@ -31,6 +31,7 @@
 	Learner *Learner
 	Budget  *Budget
 
+	ledger    *ledger
 	mu        sync.Mutex
 	durations map[settings.VersionRef]*duration
 	rating    duration
@@ -38,13 +39,15 @@
 
 // NewPlanner makes a Planner.
 func NewPlanner(learner *Learner, budget *Budget) *Planner {
-	return &Planner{Learner: learner, Budget: budget, durations: make(map[settings.VersionRef]*duration)}
+	return &Planner{Learner: learner, Budget: budget, ledger: newLedger(), durations: make(map[settings.VersionRef]*duration)}
 }
 
 // Plan plans a request under the settings.
 func (p *Planner) Plan(now time.Time, snap *settings.Snapshot, q Query, rng *rand.Rand) Plan {
+	account := ledgerKey{account: q.Account, task: q.Task}
 	in := Input{
 		Candidates: make([]Candidate, 0, len(q.Versions)),
+		Allowance:  p.ledger.allowance(account),
 		Target:     q.Target,
 		Remaining:  q.Remaining,
 		Rating:     p.ratingState(now),
@@ -59,7 +62,11 @@
 			Trusted:  i == len(q.Versions)-1,
 		})
 	}
-	return Build(in)
+	plan := Build(in)
+	if plan.MeetsTarget {
+		p.ledger.served(account, plan.Shortfall)
+	}
+	return plan
 }
 
 // cost is the price of the request on a version.
@@ -97,13 +104,28 @@
 	d.add(took)
 }
 
-// Rated tells that the rating service judged an answer, and how long it took.
-func (p *Planner) Rated(now time.Time, key Key, acceptable bool, took time.Duration) {
+// Outcome is a rating that the rating service gave.
+type Outcome struct {
+	Key Key
+	// Target is the quality target the request was planned for.
+	Target     float64
+	Acceptable bool
+	// Judged is whether the caller got the answer only after the rating.
+	Judged bool
+	// Took is how long the rating service took.
+	Took time.Duration
+}
+
+// Rated takes a rating in.
+func (p *Planner) Rated(now time.Time, o Outcome) {
 	p.Budget.Observe(now, true)
-	p.Learner.Observe(now, key, acceptable)
+	p.Learner.Observe(now, o.Key, o.Acceptable)
+	if o.Judged && o.Acceptable {
+		p.ledger.accepted(ledgerKey{account: o.Key.Account, task: o.Key.Task}, o.Target)
+	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.rating.add(took)
+	p.rating.add(o.Took)
 }
 
 // RatingFailed tells that the rating service gave no answer.
