--- a/Makefile
+++ b/Makefile
@@ -27,3 +27,6 @@
 
 check-generated:
 	$(GO) run ./internal/statechart/gen -check
+
+measure:
+	$(GO) run ./cmd/basilrail-measure
