--- a/cmd/basilraild/main.go
+++ b/cmd/basilraild/main.go
@@ -1,4 +1,12 @@
 // Command basilraild is an entry instance.
 package main
 
-func main() {}
+import (
+	"os"
+
+	"github.com/basilrail/basilrail/internal/daemon"
+)
+
+func main() {
+	os.Exit(daemon.Main(os.Args[1:], os.Stderr))
+}
--- /dev/null
+++ b/internal/daemon/daemon.go
@@ -0,0 +1,74 @@
+// Package daemon runs an entry instance as a process: flags, logs, signals and
+// exit codes.
+package daemon
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"go.opentelemetry.io/otel/trace/noop"
+
+	"github.com/basilrail/basilrail/internal/entry"
+	"github.com/basilrail/basilrail/internal/events"
+	"github.com/basilrail/basilrail/internal/staticconfig"
+)
+
+// Exit codes of the process.
+const (
+	exitOK     = 0
+	exitFailed = 1
+	exitUsage  = 2
+)
+
+// dialTimeout bounds the making of a connection.
+const dialTimeout = 2 * time.Second
+
+// Main runs the process until a signal ends it, and returns its exit code.
+func Main(args []string, out io.Writer) int {
+	cfg, err := staticconfig.Parse(args)
+	if err != nil {
+		fmt.Fprintln(out, err)
+		return exitUsage
+	}
+	if cfg.Check.Value {
+		return exitOK
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	if err := run(ctx, cfg, out); err != nil {
+		fmt.Fprintln(out, err)
+		return exitFailed
+	}
+	return exitOK
+}
+
+func run(ctx context.Context, cfg *staticconfig.Config, out io.Writer) error {
+	dialer := &net.Dialer{Timeout: dialTimeout}
+	instance, err := entry.New(entry.Options{
+		Config: cfg,
+		Listen: func(address string) (net.Listener, error) { return net.Listen("tcp", address) },
+		Dial:   dialer.DialContext,
+		Log:    events.NewLogger(newLogger(cfg, out)),
+		Tracer: noop.NewTracerProvider().Tracer("basilrail"),
+	})
+	if err != nil {
+		return err
+	}
+	return instance.Run(ctx)
+}
+
+func newLogger(cfg *staticconfig.Config, out io.Writer) *logrus.Logger {
+	logger := logrus.New()
+	logger.SetOutput(out)
+	logger.SetLevel(cfg.LogLevel.Value)
+	if cfg.LogFormat.Value == staticconfig.FormatJSON {
+		logger.SetFormatter(&logrus.JSONFormatter{})
+	}
+	return logger
+}
--- /dev/null
+++ b/internal/entry/build.go
@@ -0,0 +1,167 @@
+package entry
+
+import (
+	"crypto/sha256"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/basilrail/basilrail/internal/backend"
+	"github.com/basilrail/basilrail/internal/billing"
+	"github.com/basilrail/basilrail/internal/cascade"
+	"github.com/basilrail/basilrail/internal/claim"
+	"github.com/basilrail/basilrail/internal/configsync"
+	"github.com/basilrail/basilrail/internal/datastore"
+	"github.com/basilrail/basilrail/internal/gateway"
+	"github.com/basilrail/basilrail/internal/membership"
+	"github.com/basilrail/basilrail/internal/peers"
+	"github.com/basilrail/basilrail/internal/peers/membus"
+	"github.com/basilrail/basilrail/internal/platform"
+	"github.com/basilrail/basilrail/internal/platform/groupcommit"
+	"github.com/basilrail/basilrail/internal/platform/httpplatform"
+	"github.com/basilrail/basilrail/internal/quarantine"
+	"github.com/basilrail/basilrail/internal/rating"
+	"github.com/basilrail/basilrail/internal/retry"
+	"github.com/basilrail/basilrail/internal/rollout"
+	"github.com/basilrail/basilrail/internal/session"
+	"github.com/basilrail/basilrail/internal/settings"
+	"github.com/basilrail/basilrail/internal/statechart"
+)
+
+const (
+	// fleetCommitsPerSecond is the part of the table service's writes that
+	// claims and bills of the whole fleet may take.
+	fleetCommitsPerSecond = 300.0
+	// subsetSize is the number of servers of each model that an instance uses.
+	subsetSize = 128
+	// maxAnswerBytes bounds a whole answer of a backend server.
+	maxAnswerBytes = 16 << 20
+	// idleConnsPerServer is the number of idle connections kept to a backend server.
+	idleConnsPerServer = 64
+	// idleConnTimeout is how long an idle connection is kept.
+	idleConnTimeout = 30 * time.Second
+)
+
+// New assembles an instance; Run starts it.
+func New(o Options) (*Instance, error) {
+	charts, err := statechart.Load()
+	if err != nil {
+		return nil, errors.Wrap(err, "load the state charts")
+	}
+	i := &Instance{opts: o, cfg: o.Config, log: o.Log, charts: charts}
+	i.seeds = seedFor(o.Seed, o.Config.Instance.Value)
+	bus := membus.New().Join(i.cfg.Instance.Value, i.cfg.FailureDomain.Value)
+	i.buildState(bus)
+	i.buildDecisions(bus)
+	if err := i.buildGateway(); err != nil {
+		return nil, err
+	}
+	return i, nil
+}
+
+// transport makes an HTTP transport over the instance's network.
+func (i *Instance) transport() *http.Transport {
+	return &http.Transport{
+		DialContext:         i.opts.Dial,
+		MaxIdleConnsPerHost: idleConnsPerServer,
+		IdleConnTimeout:     idleConnTimeout,
+		DisableCompression:  true,
+	}
+}
+
+// buildState makes what reads and writes the platform.
+func (i *Instance) buildState(bus peers.Bus) {
+	client := &http.Client{Transport: i.transport()}
+	i.platform = httpplatform.New(client, i.cfg.PlatformURL.Value.String(), 0)
+	i.members = membership.New(i.platform, platform.Member{
+		ID:            i.cfg.Instance.Value,
+		Kind:          platform.MemberEntry,
+		Address:       i.cfg.AdvertisePeers.Value.String(),
+		FailureDomain: i.cfg.FailureDomain.Value,
+	}, i.newRand(), i.log)
+	i.data = datastore.New(datastore.WithSubset(i.cfg.Instance.Value, subsetSize))
+	i.syncer = configsync.New(configsync.Options{
+		Table:    i.platform,
+		Bus:      bus,
+		Rand:     i.newRand(),
+		Log:      i.log,
+		OnChange: i.applySettings,
+	})
+	i.commits = groupcommit.New(i.platform, i.commitBudget)
+	i.claims = claim.New(i.commits, i.platform, i.log)
+	i.ledger = billing.New(billing.Config{
+		Bus:           bus,
+		FailureDomain: i.cfg.FailureDomain.Value,
+		Commits:       i.commits,
+		Reads:         i.platform,
+		Log:           i.log,
+	})
+}
+
+// commitBudget is this instance's share of the fleet's commits.
+func (i *Instance) commitBudget() float64 {
+	return fleetCommitsPerSecond / float64(i.members.View().EntryCount())
+}
+
+// applySettings puts a revision in force on the data path.
+func (i *Instance) applySettings(s *settings.Snapshot) {
+	i.data.SetSettings(s)
+}
+
+// buildDecisions makes what chooses, learns and protects.
+func (i *Instance) buildDecisions(bus peers.Bus) {
+	i.suspects = quarantine.New(quarantine.Options{Bus: bus, Table: i.platform, Rand: i.newRand(), Logger: i.log})
+	i.rollouts = rollout.New(rollout.Options{
+		Bus:      bus,
+		Applier:  applier{i.syncer},
+		Settings: i.syncer.Snapshot,
+		Chart:    i.charts.Rollout,
+		Rand:     i.newRand(),
+		Logger:   i.log,
+	})
+	i.planner = cascade.NewPlanner(cascade.NewLearner(), cascade.NewBudget(fleetRatingsPerSecond))
+}
+
+// fleetRatingsPerSecond is what the rating service takes from the whole fleet.
+const fleetRatingsPerSecond = 50.0
+
+func (i *Instance) buildGateway() error {
+	secret := sha256.Sum256(i.cfg.TokenSecret.Value)
+	keyring, err := session.NewKeyring(secret[:], i.cfg.SessionLifetime.Value)
+	if err != nil {
+		return errors.Wrap(err, "session tokens")
+	}
+	i.life = newLifecycle(i.charts, i.syncer, i.log)
+	i.backend = backend.NewClient(i.transport(), "http", maxAnswerBytes)
+	i.gateway = gateway.New(gateway.Options{
+		Data:          i.data,
+		Backend:       i.backend,
+		Ready:         i.life,
+		Tokens:        keyring,
+		Versions:      i.rollouts,
+		Planner:       i.planner,
+		Admission:     openAdmission{},
+		Suspects:      suspectTracker{Quarantine: i.suspects},
+		Retries:       retry.New(i.newRand()),
+		Servers:       serverReports{},
+		Claims:        i.claims,
+		Bills:         i.ledger,
+		Rater:         rating.New(&http.Client{Transport: i.transport()}, i.ratingURL()),
+		Charts:        i.charts,
+		Records:       dropRecords{},
+		Log:           i.log,
+		Tracer:        i.opts.Tracer,
+		Rand:          i.newRand(),
+		StreamTime:    i.cfg.StreamTime.Value,
+		FailureDomain: i.cfg.FailureDomain.Value,
+	})
+	return nil
+}
+
+func (i *Instance) ratingURL() string {
+	if i.cfg.RatingURL.Value == nil {
+		return ""
+	}
+	return i.cfg.RatingURL.Value.String()
+}
--- /dev/null
+++ b/internal/entry/instance.go
@@ -0,0 +1,106 @@
+// Package entry assembles one entry instance from the capabilities and runs it
+// from its start to its last finished request.
+package entry
+
+import (
+	"context"
+	"hash/fnv"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"go.opentelemetry.io/otel/trace"
+
+	"github.com/basilrail/basilrail/internal/backend"
+	"github.com/basilrail/basilrail/internal/billing"
+	"github.com/basilrail/basilrail/internal/cascade"
+	"github.com/basilrail/basilrail/internal/claim"
+	"github.com/basilrail/basilrail/internal/configsync"
+	"github.com/basilrail/basilrail/internal/datastore"
+	"github.com/basilrail/basilrail/internal/events"
+	"github.com/basilrail/basilrail/internal/gateway"
+	"github.com/basilrail/basilrail/internal/membership"
+	"github.com/basilrail/basilrail/internal/platform/groupcommit"
+	"github.com/basilrail/basilrail/internal/platform/httpplatform"
+	"github.com/basilrail/basilrail/internal/quarantine"
+	"github.com/basilrail/basilrail/internal/rollout"
+	"github.com/basilrail/basilrail/internal/statechart"
+	"github.com/basilrail/basilrail/internal/staticconfig"
+)
+
+// Options is what an Instance needs besides its flags.
+type Options struct {
+	Config *staticconfig.Config
+	// Listen opens a listener at "ip:port".
+	Listen func(address string) (net.Listener, error)
+	// Dial connects like net.Dialer.DialContext.
+	Dial   func(ctx context.Context, network, address string) (net.Conn, error)
+	Log    *events.Logger
+	Tracer trace.Tracer
+	// Seed makes the random decisions repeatable; zero takes one from the system.
+	Seed uint64
+}
+
+// Instance is one entry instance.
+type Instance struct {
+	opts   Options
+	cfg    *staticconfig.Config
+	log    *events.Logger
+	charts *statechart.Set
+	seeds  *rand.Rand
+
+	data     *datastore.Store
+	platform *httpplatform.Client
+	commits  *groupcommit.Committer
+	members  *membership.Watcher
+	syncer   *configsync.Syncer
+	claims   *claim.Service
+	ledger   *billing.Ledger
+	suspects *quarantine.Quarantine
+	rollouts *rollout.Controller
+	planner  *cascade.Planner
+	backend  *backend.Client
+	gateway  *gateway.Gateway
+	life     *lifecycle
+
+	servers []*http.Server
+	loops   sync.WaitGroup
+}
+
+// newRand makes a random source of its own for one component.
+func (i *Instance) newRand() *rand.Rand {
+	return rand.New(rand.NewPCG(i.seeds.Uint64(), i.seeds.Uint64()))
+}
+
+// seedFor derives an instance's seed, so that instances with the same seed
+// still differ from one another.
+func seedFor(seed uint64, instance string) *rand.Rand {
+	if seed == 0 {
+		seed = rand.Uint64()
+	}
+	hash := fnv.New64a()
+	// Writes to a hash never fail.
+	_, _ = hash.Write([]byte(instance))
+	return rand.New(rand.NewPCG(seed, hash.Sum64()))
+}
+
+// goLoop runs a background loop that Run waits for.
+func (i *Instance) goLoop(ctx context.Context, loop func(context.Context)) {
+	i.loops.Go(func() { loop(ctx) })
+}
+
+// every calls a function at an interval until the context ends.
+func every(ctx context.Context, interval time.Duration, f func()) {
+	ticker := time.NewTicker(interval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.C:
+			f()
+		case <-ctx.Done():
+			return
+		}
+	}
+}
--- /dev/null
+++ b/internal/entry/run.go
@@ -0,0 +1,143 @@
+package entry
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/go-chi/chi/v5"
+	"github.com/pkg/errors"
+
+	"github.com/basilrail/basilrail/internal/events"
+	"github.com/basilrail/basilrail/internal/statechart"
+)
+
+const (
+	// observeInterval is the time between two looks at whether the settings are current.
+	observeInterval = 200 * time.Millisecond
+	// closeTimeout bounds the handing over of claims and bills after the last request.
+	closeTimeout = 30 * time.Second
+)
+
+// Run serves until the context ends and then leaves gracefully: it finishes
+// every request in flight, hands over its bills and returns.
+func (i *Instance) Run(ctx context.Context) error {
+	work, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer i.loops.Wait()
+	defer stop()
+	if err := i.open(work); err != nil {
+		return err
+	}
+	i.startLoops(work)
+	i.log.Log(events.ProcessStarted, events.Fields{})
+	<-ctx.Done()
+	i.leave(work)
+	return nil
+}
+
+// open starts the listeners.
+func (i *Instance) open(ctx context.Context) error {
+	operators := chi.NewRouter()
+	i.mountHealth(operators)
+	listeners := []struct {
+		address string
+		handler http.Handler
+	}{
+		{i.cfg.ListenOperators.Value.String(), operators},
+		{i.cfg.ListenCallers.Value.String(), i.gateway.Handler()},
+	}
+	for _, l := range listeners {
+		if err := i.serve(ctx, l.address, l.handler); err != nil {
+			i.closeServers()
+			return err
+		}
+	}
+	return nil
+}
+
+func (i *Instance) serve(ctx context.Context, address string, handler http.Handler) error {
+	listener, err := i.opts.Listen(address)
+	if err != nil {
+		return errors.Wrapf(err, "listen on %s", address)
+	}
+	server := &http.Server{
+		Handler:           handler,
+		ReadHeaderTimeout: i.cfg.HeaderTimeout.Value,
+		ReadTimeout:       i.cfg.BodyTimeout.Value,
+		IdleTimeout:       i.cfg.IdleTimeout.Value,
+		MaxHeaderBytes:    int(i.cfg.HeaderBytes.Value),
+		BaseContext:       func(net.Listener) context.Context { return ctx },
+	}
+	i.servers = append(i.servers, server)
+	i.loops.Go(func() {
+		// Serve always returns an error; after a shutdown it says so.
+		_ = server.Serve(listener)
+	})
+	return nil
+}
+
+func (i *Instance) closeServers() {
+	for _, server := range i.servers {
+		// Closing a listener that is closed already is no fault.
+		_ = server.Close()
+	}
+}
+
+// startLoops starts everything that works in the background.
+func (i *Instance) startLoops(ctx context.Context) {
+	i.goLoop(ctx, i.members.Run)
+	i.goLoop(ctx, i.syncer.Run)
+	i.goLoop(ctx, i.commits.Run)
+	i.goLoop(ctx, i.claims.Run)
+	i.goLoop(ctx, i.ledger.Run)
+	i.goLoop(ctx, i.suspects.Run)
+	i.goLoop(ctx, i.rollouts.Run)
+	i.goLoop(ctx, i.watchServers)
+	i.goLoop(ctx, func(ctx context.Context) { every(ctx, observeInterval, i.life.observe) })
+}
+
+// leave finishes the requests in flight and hands over what is not stored yet.
+func (i *Instance) leave(ctx context.Context) {
+	i.life.fire(statechart.EntryShutdown)
+	i.log.Log(events.ProcessDraining, events.Fields{})
+	// A list that can't be reached forgets the instance by itself.
+	_ = i.members.SetLeaving(ctx)
+	sleep(ctx, i.cfg.DrainWait.Value)
+	i.life.closed.Store(true)
+	i.finishRequests(ctx)
+	ctx, cancel := context.WithTimeout(ctx, closeTimeout)
+	defer cancel()
+	i.claims.Close(ctx)
+	i.ledger.Close(ctx)
+	_ = i.members.Deregister(ctx)
+	i.closeServers()
+	i.life.fire(statechart.EntryDrained)
+	i.log.Log(events.ProcessStopped, events.Fields{})
+}
+
+// finishRequests waits for the requests in flight, at most for the drain time.
+func (i *Instance) finishRequests(ctx context.Context) {
+	done := make(chan struct{})
+	go func() {
+		i.gateway.Wait()
+		close(done)
+	}()
+	timer := time.NewTimer(i.cfg.DrainTimeout.Value)
+	defer timer.Stop()
+	select {
+	case <-done:
+	case <-timer.C:
+		i.log.Log(events.ProcessDrainTimeout, events.Fields{})
+	case <-ctx.Done():
+	}
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
--- a/internal/events/process.go
+++ b/internal/events/process.go
@@ -16,4 +16,14 @@
 		Number: 7003, Name: "process_stopped", Level: logrus.InfoLevel,
 		Message: "the entry instance has stopped",
 	})
+	ProcessStepRefused = register(Event{
+		Number: 7004, Name: "process_step_refused", Level: logrus.ErrorLevel,
+		Message: "the entry instance took a step that its state chart does not allow",
+		Action:  "This is a fault of the program: report it with the line.",
+	})
+	ProcessDrainTimeout = register(Event{
+		Number: 7005, Name: "process_drain_timeout", Level: logrus.ErrorLevel,
+		Message: "requests were still in flight when the drain time was over",
+		Action:  "Raise the drain time above the longest stream.",
+	})
 )
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -75,7 +75,7 @@
 	case settings.NotAllowed:
 		return apierror.New(http.StatusForbidden, apierror.CodeVersionForbidden, "the client account may not use version %s", w.version)
 	}
-	if g.Versions.Suspended(w.version, w.r.view.TeamName) {
+	if g.Versions.Suspended(w.r.view.ID, w.version) {
 		return apierror.New(http.StatusConflict, apierror.CodeVersionWithdrawn, "version %s is suspended", w.version)
 	}
 	return nil
--- a/internal/gateway/chat.go
+++ b/internal/gateway/chat.go
@@ -11,6 +11,7 @@
 
 	"github.com/basilrail/basilrail/internal/apierror"
 	"github.com/basilrail/basilrail/internal/backend"
+	"github.com/basilrail/basilrail/internal/cascade"
 	"github.com/basilrail/basilrail/internal/quarantine"
 	"github.com/basilrail/basilrail/internal/session"
 	"github.com/basilrail/basilrail/internal/settings"
@@ -33,7 +34,7 @@
 	// fresh is set when the session began with this request.
 	fresh bool
 	token string
-	plan  []PlanStep
+	plan  []cascade.Step
 }
 
 // chat serves POST /v1/chat/completions.
@@ -97,75 +98,86 @@
 
 // versionOf returns the version of a model that the session uses. The version
 // is pinned when the session's first answer of that model is taken.
-func (c *chat) versionOf(snap *settings.Snapshot, model string) (settings.VersionRef, bool) {
+func (c *chat) versionOf(model string) (settings.VersionRef, bool) {
 	if version, ok := c.session.Pins[model]; ok {
 		return settings.VersionRef{Model: model, Version: version}, true
 	}
-	return c.gateway.Versions.Choose(snap, c.view, c.session.ID, model)
+	choice, ok := c.gateway.Versions.Choose(c.view.ID, c.session.ID, model)
+	return choice.Ref, ok
 }
 
 // makePlan orders the versions to try.
 func (c *chat) makePlan() *apierror.Error {
 	snap := c.gateway.Data.Snapshot().Settings
-	cascade, candidates, refusal := c.candidates(snap)
+	tasks, candidates, refusal := c.candidates()
 	if refusal != nil {
 		return refusal
 	}
+	if len(candidates) == 0 {
+		return apierror.New(http.StatusForbidden, apierror.CodeVersionForbidden, "no version of %q may be used by this client account", c.req.model)
+	}
 	input, output := c.req.estimate()
-	c.plan = c.gateway.Planner.Plan(PlanInput{
-		View:         c.view,
+	plan := c.gateway.Planner.Plan(time.Now(), snap, cascade.Query{
+		Account:      c.view.ID,
 		Task:         c.task,
-		Cascade:      cascade,
-		Candidates:   candidates,
+		Versions:     candidates,
 		InputTokens:  input,
 		OutputTokens: output,
+		Target:       c.qualityTarget(tasks),
 		Remaining:    time.Until(c.deadline),
-		Settings:     snap,
-	})
-	c.record.Plan = c.plan
-	if len(c.plan) == 0 {
-		return apierror.New(http.StatusForbidden, apierror.CodeVersionForbidden, "no version of %q may be used by this client account", c.req.model)
+	}, c.gateway.random())
+	c.plan = plan.Steps
+	for _, v := range plan.Verdicts {
+		c.record.Plan = append(c.record.Plan, PlanVerdict{Version: v.Ref.String(), Why: v.Why})
 	}
 	return nil
 }
 
+// qualityTarget is the task's own target, or the team's.
+func (c *chat) qualityTarget(tasks settings.Cascade) float64 {
+	if tasks.QualityTarget > 0 {
+		return tasks.QualityTarget
+	}
+	return c.view.Team.QualityTarget
+}
+
 // candidates lists the versions that may answer: the one the caller names, or
 // those of the task's cascade. A pinned version that may no longer be used ends
 // the session; it is never exchanged silently.
-func (c *chat) candidates(snap *settings.Snapshot) (settings.Cascade, []settings.VersionRef, *apierror.Error) {
+func (c *chat) candidates() (settings.Cascade, []settings.VersionRef, *apierror.Error) {
 	if c.req.model != autoModel {
-		ref, refusal := c.named(snap)
+		ref, refusal := c.named()
 		if refusal != nil {
 			return settings.Cascade{}, nil, refusal
 		}
 		return settings.Cascade{Models: []string{ref.Model}}, []settings.VersionRef{ref}, nil
 	}
-	cascade, ok := c.view.Cascade(c.task)
+	tasks, ok := c.view.Cascade(c.task)
 	if !ok {
-		return cascade, nil, apierror.New(http.StatusBadRequest, apierror.CodeBadRequest, "the team has no cascade for task %q", c.task)
+		return tasks, nil, apierror.New(http.StatusBadRequest, apierror.CodeBadRequest, "the team has no cascade for task %q", c.task)
 	}
 	var refs []settings.VersionRef
-	for _, model := range cascade.Models {
-		ref, ok := c.versionOf(snap, model)
+	for _, model := range tasks.Models {
+		ref, ok := c.versionOf(model)
 		if !ok {
 			continue
 		}
 		if refusal := c.checkPin(ref); refusal != nil {
-			return cascade, nil, refusal
+			return tasks, nil, refusal
 		}
 		if (&work{r: c.request, version: ref}).permit() == nil {
 			refs = append(refs, ref)
 		}
 	}
-	return cascade, refs, nil
+	return tasks, refs, nil
 }
 
 // named resolves the model that the caller asked for: "model" or "model@version".
-func (c *chat) named(snap *settings.Snapshot) (settings.VersionRef, *apierror.Error) {
+func (c *chat) named() (settings.VersionRef, *apierror.Error) {
 	ref, exact := settings.ParseVersionRef(c.req.model)
 	if !exact {
 		var ok bool
-		if ref, ok = c.versionOf(snap, c.req.model); !ok {
+		if ref, ok = c.versionOf(c.req.model); !ok {
 			return ref, apierror.New(http.StatusForbidden, apierror.CodeVersionForbidden, "the client account may not use model %q", c.req.model)
 		}
 	}
@@ -214,8 +226,8 @@
 }
 
 // try runs one step; taken is false when the next step must answer.
-func (c *chat) try(ctx context.Context, step PlanStep, last bool) (taken bool, refusal *apierror.Error) {
-	w := c.workFor(step.Version)
+func (c *chat) try(ctx context.Context, step cascade.Step, last bool) (taken bool, refusal *apierror.Error) {
+	w := c.workFor(step.Ref)
 	if c.req.stream && (last || !step.Judge) {
 		return true, c.streamLive(ctx, w, step)
 	}
@@ -299,6 +311,7 @@
 
 func (c *chat) answered(p *placement, completion *backend.Completion) *answer {
 	c.sawFate(apierror.DidRun)
+	c.gateway.Planner.Finished(p.work.version, time.Since(p.started))
 	return &answer{
 		placement: p,
 		version:   p.work.version,
@@ -345,7 +358,7 @@
 }
 
 // deliver bills a whole answer and gives it to the caller.
-func (c *chat) deliver(ctx context.Context, step PlanStep, a *answer) *apierror.Error {
+func (c *chat) deliver(ctx context.Context, step cascade.Step, a *answer) *apierror.Error {
 	c.pin(a.version)
 	c.settle(ctx, a.placement, a.usage, a.cost)
 	c.sample(ctx, step, a.version, textOf(a.choices))
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -16,10 +16,12 @@
 	"github.com/basilrail/basilrail/internal/apierror"
 	"github.com/basilrail/basilrail/internal/backend"
 	"github.com/basilrail/basilrail/internal/billing"
+	"github.com/basilrail/basilrail/internal/cascade"
 	"github.com/basilrail/basilrail/internal/claim"
 	"github.com/basilrail/basilrail/internal/datastore"
 	"github.com/basilrail/basilrail/internal/events"
 	"github.com/basilrail/basilrail/internal/retry"
+	"github.com/basilrail/basilrail/internal/rollout"
 	"github.com/basilrail/basilrail/internal/session"
 	"github.com/basilrail/basilrail/internal/settings"
 	"github.com/basilrail/basilrail/internal/statechart"
@@ -55,14 +57,16 @@
 	Record(ctx context.Context, r billing.Record) error
 }
 
-// Versions chooses the version of a model for a new session.
+// Versions chooses the version of a model, and learns from rated answers.
 type Versions interface {
-	// Choose returns the version; ok is false where none may be used now.
-	Choose(s *settings.Snapshot, view *settings.AccountView, sessionID, model string) (ref settings.VersionRef, ok bool)
-	// Suspended tells whether the version gets no new work for now.
-	Suspended(ref settings.VersionRef, team string) bool
+	// Choose returns the version for a new session; ok is false where none may be used now.
+	Choose(id settings.AccountID, session, model string) (choice rollout.Choice, ok bool)
+	// Suspended tells whether the account's team may not use the version for now.
+	Suspended(id settings.AccountID, ref settings.VersionRef) bool
 	// Observe counts a rated answer as evidence.
-	Observe(ref settings.VersionRef, team string, acceptable bool)
+	Observe(id settings.AccountID, ref settings.VersionRef, good bool)
+	// MustRate tells that each answer of the version should be rated.
+	MustRate(id settings.AccountID, ref settings.VersionRef) bool
 }
 
 // Tokens issues and verifies session tokens.
@@ -78,7 +82,7 @@
 	Ready      Readiness
 	Tokens     Tokens
 	Versions   Versions
-	Planner    Planner
+	Planner    *cascade.Planner
 	Admission  Admission
 	Suspects   Suspects
 	Retries    *retry.Retrier
--- a/internal/gateway/judge.go
+++ b/internal/gateway/judge.go
@@ -6,6 +6,9 @@
 	"strings"
 	"time"
 
+	"github.com/pkg/errors"
+
+	"github.com/basilrail/basilrail/internal/cascade"
 	"github.com/basilrail/basilrail/internal/events"
 	"github.com/basilrail/basilrail/internal/settings"
 )
@@ -15,7 +18,7 @@
 
 // acceptable rates an answer. Without a rating the answer is not acceptable: a
 // dearer version is asked where the quality is not known.
-func (c *chat) acceptable(ctx context.Context, step PlanStep, a *answer) bool {
+func (c *chat) acceptable(ctx context.Context, step cascade.Step, a *answer) bool {
 	score, err := c.rate(ctx, a.version, textOf(a.choices))
 	if err != nil {
 		c.gateway.Log.Log(events.RatingUnavailable, events.Fields{RequestID: c.id, Version: a.version.String(), Err: err})
@@ -29,20 +32,29 @@
 func (c *chat) rate(ctx context.Context, ref settings.VersionRef, text string) (float64, error) {
 	ctx, span := startSpan(ctx, c.request, spanRating)
 	defer span.End()
+	if !c.gateway.Planner.Budget.Take(time.Now()) {
+		return 0, errNoRatingLeft
+	}
+	started := time.Now()
 	score, err := c.gateway.Rater.Rate(ctx, Rating{Task: c.task, Prompt: c.prompt, Answer: text, Version: ref})
 	if err != nil {
+		c.gateway.Planner.RatingFailed(time.Now())
 		return 0, err
 	}
 	acceptable := score >= AcceptableScore
-	c.gateway.Planner.Learn(c.view.ID, c.task, ref, acceptable)
-	c.gateway.Versions.Observe(ref, c.view.TeamName, acceptable)
+	key := cascade.Key{Account: c.view.ID, Task: c.task, Version: ref}
+	c.gateway.Planner.Rated(time.Now(), key, acceptable, time.Since(started))
+	c.gateway.Versions.Observe(c.view.ID, ref, acceptable)
 	return score, nil
 }
 
+// errNoRatingLeft tells that this instance's share of the ratings is used up.
+var errNoRatingLeft = errors.New("no rating left in this instance's share")
+
 // sample rates an answer that the caller already has, to learn from it. The
 // request does not wait for it; the shutdown does.
-func (c *chat) sample(ctx context.Context, step PlanStep, ref settings.VersionRef, text string) {
-	if !step.Sample {
+func (c *chat) sample(ctx context.Context, step cascade.Step, ref settings.VersionRef, text string) {
+	if !step.Sample && !c.gateway.Versions.MustRate(c.view.ID, ref) {
 		return
 	}
 	c.gateway.inFlight.Go(func() {
--- a/internal/gateway/record.go
+++ b/internal/gateway/record.go
@@ -5,6 +5,7 @@
 
 	"github.com/basilrail/basilrail/internal/apierror"
 	"github.com/basilrail/basilrail/internal/billing"
+	"github.com/basilrail/basilrail/internal/cascade"
 	"github.com/basilrail/basilrail/internal/scheduling"
 	"github.com/basilrail/basilrail/internal/settings"
 	"github.com/basilrail/basilrail/internal/statechart"
@@ -27,8 +28,8 @@
 	Duration  time.Duration      `json:"duration_ns"`
 	// State is where the request's life ended.
 	State statechart.State `json:"state"`
-	// Plan is the order of versions and why.
-	Plan     []PlanStep      `json:"plan,omitempty"`
+	// Plan tells of each version why it was or was not to be tried.
+	Plan     []PlanVerdict   `json:"plan,omitempty"`
 	Attempts []AttemptRecord `json:"attempts,omitempty"`
 	Bill     *billing.Record `json:"bill,omitempty"`
 	Refusal  *apierror.Error `json:"refusal,omitempty"`
@@ -38,6 +39,12 @@
 	TraceID string `json:"trace_id,omitempty"`
 }
 
+// PlanVerdict is why a version was or was not to be tried.
+type PlanVerdict struct {
+	Version string      `json:"version"`
+	Why     cascade.Why `json:"why"`
+}
+
 // AttemptRecord is one attempt of a request.
 type AttemptRecord struct {
 	ID         string                 `json:"id"`
--- a/internal/gateway/steps.go
+++ b/internal/gateway/steps.go
@@ -10,37 +10,6 @@
 	"github.com/basilrail/basilrail/internal/settings"
 )
 
-// PlanInput is what a plan is made from.
-type PlanInput struct {
-	View    *settings.AccountView
-	Task    string
-	Cascade settings.Cascade
-	// Candidates are the versions that the request may use, cheapest model first.
-	Candidates   []settings.VersionRef
-	InputTokens  int
-	OutputTokens int
-	// Remaining is the time left until the deadline.
-	Remaining time.Duration
-	Settings  *settings.Snapshot
-}
-
-// PlanStep is one version to try.
-type PlanStep struct {
-	Version settings.VersionRef `json:"version"`
-	// Judge tells that the answer must be rated acceptable before the caller gets it.
-	Judge bool `json:"judge"`
-	// Sample tells that the answer is rated after the caller got it, to learn.
-	Sample bool `json:"sample"`
-	// Why explains the step to an operator.
-	Why string `json:"why"`
-}
-
-// Planner orders the versions to try and learns from ratings.
-type Planner interface {
-	Plan(in PlanInput) []PlanStep
-	Learn(account settings.AccountID, task string, ref settings.VersionRef, acceptable bool)
-}
-
 // Ticket asks for admission of one attempt.
 type Ticket struct {
 	Account settings.AccountID
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -11,6 +11,7 @@
 
 	"github.com/basilrail/basilrail/internal/apierror"
 	"github.com/basilrail/basilrail/internal/backend"
+	"github.com/basilrail/basilrail/internal/cascade"
 	"github.com/basilrail/basilrail/internal/settings"
 	"github.com/basilrail/basilrail/internal/statechart"
 )
@@ -53,7 +54,7 @@
 
 // streamLive passes a version's stream on as it comes. It is retried on another
 // server until the first chunk is sent, and resumed on its server after that.
-func (c *chat) streamLive(ctx context.Context, w *work, step PlanStep) *apierror.Error {
+func (c *chat) streamLive(ctx context.Context, w *work, step cascade.Step) *apierror.Error {
 	body, err := c.req.bodyFor(w.version, true)
 	if err != nil {
 		return apierror.New(http.StatusInternalServerError, apierror.CodeInternal, "the request could not be encoded")
@@ -207,8 +208,9 @@
 }
 
 // close bills the answer and then sends its end.
-func (l *live) close(ctx context.Context, step PlanStep) *apierror.Error {
+func (l *live) close(ctx context.Context, step cascade.Step) *apierror.Error {
 	usage := l.usage()
+	l.c.gateway.Planner.Finished(l.work.version, time.Since(l.placement.started))
 	l.c.settle(ctx, l.placement, usage, l.c.costOf(l.work.version, usage))
 	l.c.sample(ctx, step, l.work.version, textOf(l.choices))
 	return l.c.endEvents(l.out, l.work.version, l.closing, usage)
