Test the settings under random interleavings

A model-based test with random applies beside one another, resends, faults of the store, cuts and restarts of instances checks that no revision reverts, no change is committed twice, no refused change stands, and that whoever vouches has in force what was committed 6 s earlier.

Trials without a mechanism, on a scratch copy: no head condition and no age bound fail it (instance 1 vouches for revision 1; 2 was committed 7s ago). It does not notice a missing doubt flag or a peer's age adopted too early within 100 checks; TestCommitInDoubtEndsVouchingInAnOutage and TestPeerAheadProvesNothing do.

--- a/internal/configsync/configsync_test.go
+++ b/internal/configsync/configsync_test.go
@@ -309,3 +309,19 @@
 		})
 	}
 }
+
+func TestPeerAheadProvesNothing(t *testing.T) {
+	inBubble(t, 2, func(t *testing.T, f *fleet) {
+		n := f.nodes[0]
+		f.cut(0, true)
+		time.Sleep(2 * FreshFor)
+		reply := fetchReply{Loaded: true, Revision: n.Snapshot().Revision + 1, FreshMillis: 0}
+		n.takeAges(nodeID(1), time.Now(), reply)
+		ok, _, _ := n.Vouch()
+		assert.False(t, ok, "the peer's settings are current, but not in force here")
+		reply.Revision--
+		n.takeAges(nodeID(1), time.Now(), reply)
+		ok, reason, _ := n.Vouch()
+		assert.True(t, ok, reason)
+	})
+}
--- a/internal/configsync/fleet_test.go
+++ b/internal/configsync/fleet_test.go
@@ -68,9 +68,15 @@
 	return f
 }
 
-// join adds an instance and runs it.
+// join adds an instance.
 func (f *fleet) join() *node {
-	index := len(f.nodes)
+	n := f.start(len(f.nodes))
+	f.nodes = append(f.nodes, n)
+	return n
+}
+
+// start runs an instance, in place of an earlier one of the same index if any.
+func (f *fleet) start(index int) *node {
 	n := &node{table: &reachable{Table: f.table}}
 	n.Syncer = New(Options{
 		Table:    n.table,
@@ -81,7 +87,6 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	n.stop = cancel
 	go n.Run(ctx)
-	f.nodes = append(f.nodes, n)
 	return n
 }
 
--- /dev/null
+++ b/internal/configsync/model_test.go
@@ -0,0 +1,272 @@
+package configsync
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/pkg/errors"
+	"pgregory.net/rapid"
+
+	"github.com/basilrail/basilrail/internal/platform"
+	"github.com/basilrail/basilrail/internal/platform/memtable"
+	"github.com/basilrail/basilrail/internal/settings"
+)
+
+// TestMain fixes the seed of the model-based test unless fresh ones are asked for.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if os.Getenv("BASILRAIL_SOAK") == "" && flag.Lookup("rapid.seed").Value.String() == "0" {
+		if err := flag.Set("rapid.seed", "20260"); err != nil {
+			panic(err)
+		}
+	}
+	os.Exit(m.Run())
+}
+
+const modelInstances = 4
+
+// step is one random action of the model-based test.
+type step struct {
+	Action string
+	// Instance is acted on, or applies.
+	Instance int
+	// Model and Stale choose what an apply changes, and how old the revision is
+	// that it was made from.
+	Model string
+	Stale int
+	Wait  time.Duration
+}
+
+var actions = []string{"apply", "apply", "apply", "resend", "down", "lose", "drop", "slow", "heal", "cut", "cut store", "cut peers", "join", "restart", "wait"}
+
+func drawSteps(rt *rapid.T) []step {
+	return rapid.SliceOfN(rapid.Custom(func(rt *rapid.T) step {
+		return step{
+			Action:   rapid.SampledFrom(actions).Draw(rt, "action"),
+			Instance: rapid.IntRange(0, modelInstances-1).Draw(rt, "instance"),
+			Model:    rapid.SampledFrom([]string{"m", "n"}).Draw(rt, "model"),
+			Stale:    rapid.IntRange(0, 2).Draw(rt, "stale"),
+			Wait:     time.Duration(rapid.IntRange(0, 9000).Draw(rt, "wait_ms")) * time.Millisecond,
+		}
+	}), 1, 40).Draw(rt, "steps")
+}
+
+// model remembers what was promised, and checks it.
+type model struct {
+	*fleet
+	sent []settings.Change
+	// applying counts the calls under way; they run beside the steps.
+	applying sync.WaitGroup
+	mu       sync.Mutex
+	// acknowledged holds each successful change's revision.
+	acknowledged map[string]uint64
+	// refused holds the changes that were surely not applied by their last send.
+	refused map[string]bool
+	// committedAt is when each revision was committed.
+	committedAt map[uint64]time.Time
+	problems    []string
+}
+
+func TestRandomInterleavingsKeepThePromises(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		steps := drawSteps(rt)
+		var problems []string
+		synctest.Test(t, func(t *testing.T) { problems = runModel(t, steps) })
+		for _, problem := range problems {
+			rt.Error(problem)
+		}
+	})
+}
+
+func runModel(t *testing.T, steps []step) []string {
+	m := &model{
+		fleet:        newFleet(modelInstances),
+		acknowledged: make(map[string]uint64),
+		refused:      make(map[string]bool),
+		committedAt:  make(map[uint64]time.Time),
+	}
+	defer m.stop()
+	m.table.OnCommit(m.noteCommit)
+	m.setUp(t)
+	for _, s := range steps {
+		m.do(s)
+		for waited := time.Duration(0); waited < s.Wait; waited += time.Second {
+			time.Sleep(time.Second)
+			m.checkVouching()
+		}
+	}
+	m.heal()
+	m.applying.Wait()
+	time.Sleep(inForceWithin)
+	m.checkEnd()
+	return m.problems
+}
+
+// noteCommit records when a revision was committed. A transaction whose answer is
+// lost comes here even if it conflicted; then its revision is known already.
+func (m *model) noteCommit(txn platform.Txn) {
+	var head headRow
+	if err := decode(platform.Row{Value: txn.Mutations[0].Value}, &head); err != nil {
+		m.problem("%v", err)
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if _, known := m.committedAt[head.Revision]; !known {
+		m.committedAt[head.Revision] = time.Now()
+	}
+}
+
+func (m *model) problem(format string, args ...any) {
+	m.problems = append(m.problems, fmt.Sprintf(format, args...))
+}
+
+func (m *model) do(s step) {
+	switch s.Action {
+	case "apply":
+		madeFrom := m.documentRevision(s.Model)
+		change := m.change(modelDoc(s.Model, len(m.sent)+1, madeFrom-min(madeFrom, uint64(s.Stale/2))))
+		m.sent = append(m.sent, change)
+		m.applying.Go(func() { m.apply(s.Instance, change) })
+	case "resend":
+		if len(m.sent) > 0 {
+			change := m.sent[len(m.sent)-1-min(s.Stale, len(m.sent)-1)]
+			m.applying.Go(func() { m.apply(s.Instance, change) })
+		}
+	case "down":
+		m.table.SetFaults(memtable.Faults{Down: true})
+	case "lose":
+		m.table.SetFaults(memtable.Faults{LoseAnswers: true})
+	case "drop":
+		m.table.SetFaults(memtable.Faults{DropWrites: true})
+	case "slow":
+		m.table.SetFaults(memtable.Faults{Delay: 700 * time.Millisecond})
+	case "heal":
+		m.table.SetFaults(memtable.Faults{})
+	case "cut":
+		m.cut(s.Instance, true)
+	case "cut store":
+		m.nodes[s.Instance].table.cut.Store(true)
+	case "cut peers":
+		m.network.Cut(nodeID(s.Instance), true)
+	case "restart":
+		m.replace(s.Instance)
+	case "join":
+		m.cut(s.Instance, false)
+	}
+}
+
+// replace stops an instance and starts a new one in its place.
+func (m *model) replace(index int) {
+	m.nodes[index].stop()
+	m.nodes[index] = m.start(index)
+}
+
+func (m *model) documentRevision(name string) uint64 {
+	var newest uint64
+	for _, n := range m.nodes {
+		docs, _ := n.Documents(settings.ModelPath(name))
+		if len(docs) > 0 {
+			newest = max(newest, docs[0].Revision)
+		}
+	}
+	return newest
+}
+
+func (m *model) apply(instance int, change settings.Change) {
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	result, err := m.nodes[instance].Apply(ctx, change)
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var unknown *UnknownError
+	switch {
+	case err == nil && !result.Unchanged:
+		if first, ok := m.acknowledged[change.ID]; ok && first != result.Revision {
+			m.problem("change %s: first revision %d, then %d", change.ID, first, result.Revision)
+		}
+		m.acknowledged[change.ID] = result.Revision
+	case errors.As(err, &unknown):
+		m.refused[change.ID] = false
+	case err != nil:
+		// The change may have been sent elsewhere too, with another result.
+		if _, sentBefore := m.refused[change.ID]; !sentBefore {
+			m.refused[change.ID] = true
+		}
+	}
+}
+
+// checkVouching: who vouches has in force what was committed FreshFor ago.
+func (m *model) checkVouching() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for i, n := range m.nodes {
+		if ok, _, _ := n.Vouch(); !ok {
+			continue
+		}
+		for revision, at := range m.committedAt {
+			if time.Since(at) > FreshFor && n.Snapshot().Revision < revision {
+				m.problem("instance %d vouches for revision %d; %d was committed %v ago", i, n.Snapshot().Revision, revision, time.Since(at))
+			}
+		}
+	}
+}
+
+func (m *model) heal() {
+	m.table.SetFaults(memtable.Faults{})
+	for i := range m.nodes {
+		m.cut(i, false)
+	}
+}
+
+// checkEnd: all instances agree with the log, revisions only rose, and each
+// change stands in the log exactly as it was told.
+func (m *model) checkEnd() {
+	rows, err := m.table.Scan(context.Background(), logPrefix, "", 0)
+	if err != nil {
+		m.problem("read the log: %v", err)
+	}
+	docs := make(map[string]settings.Document)
+	committed := make(map[string]uint64)
+	for _, row := range rows {
+		var entry logEntry
+		if err := decode(row, &entry); err != nil {
+			m.problem("%v", err)
+		}
+		if twice, ok := committed[entry.ChangeID]; ok {
+			m.problem("change %s is committed at %d and %d", entry.ChangeID, twice, entry.Revision)
+		}
+		committed[entry.ChangeID] = entry.Revision
+		docs = merge(docs, entry.Documents)
+	}
+	for id, revision := range m.acknowledged {
+		if committed[id] != revision {
+			m.problem("change %s was acknowledged at %d but stands at %d", id, revision, committed[id])
+		}
+	}
+	for id, refused := range m.refused {
+		if _, acknowledged := m.acknowledged[id]; refused && !acknowledged && committed[id] != 0 {
+			m.problem("change %s was refused but stands at %d", id, committed[id])
+		}
+	}
+	m.checkInstances(docs, uint64(len(rows)))
+}
+
+func (m *model) checkInstances(docs map[string]settings.Document, revision uint64) {
+	for i, n := range m.nodes {
+		got, at := n.Documents("/")
+		if at != revision || len(settings.Diff(got, sorted(docs))) > 0 {
+			m.problem("instance %d is at revision %d, not %d", i, at, revision)
+		}
+		for j := 1; j < len(n.revisions); j++ {
+			if n.revisions[j] <= n.revisions[j-1] {
+				m.problem("instance %d went from revision %d to %d", i, n.revisions[j-1], n.revisions[j])
+			}
+		}
+	}
+}
