Share pools fairly by cost, refuse at once what can't start in time

Cause: a large client account that fills a pool makes a small one wait for as long as the large one's backlog lasts, and requests that can't make their deadline are held until it has passed.

Start-time fair queueing by tokens and weight per client account; one place in sixteen of a window is kept for accounts below half their share while more than one is active; estimates are corrected by what a request really took. The expected wait follows from the account's backlog and the pool's smoothed rate. Entries tell each other their demand by client account, and each takes of every account's max-min fair part what its own demand is of the total.

Ruled out: splitting a pool by the entries' total demand. A flood at one entry would leave the others a window below the demand of their small accounts.

--- /dev/null
+++ b/internal/flowcontrol/controller.go
@@ -0,0 +1,180 @@
+// Package flowcontrol decides when a request may start, so that no client
+// account is slowed by another: each pool of backend servers has a window of
+// requests in flight, shared fairly by cost among the accounts, and what can't
+// start in time is refused at once with when to come back.
+package flowcontrol
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+)
+
+// RefusedError tells that a request was not started.
+type RefusedError struct {
+	Reason RefusedReason
+	// RetryAfter is when to come back.
+	RetryAfter time.Duration
+}
+
+// RefusedReason is why a request was refused.
+type RefusedReason string
+
+// The reasons.
+const (
+	// DeadlineUnreachable means that the request would start too late.
+	DeadlineUnreachable RefusedReason = "the deadline can't be met"
+	// QueueFull means that the client account has too many requests waiting.
+	QueueFull RefusedReason = "too many requests of the client account wait"
+)
+
+// Error renders the reason and the time to come back.
+func (e *RefusedError) Error() string {
+	return fmt.Sprintf("%s; come back in %s", e.Reason, e.RetryAfter)
+}
+
+// Controller holds the queue of each pool. It is safe for concurrent use.
+type Controller struct {
+	mu    sync.Mutex
+	pools map[string]*pool
+}
+
+// pool is a queue with its lock.
+type pool struct {
+	mu    sync.Mutex
+	queue *Queue
+}
+
+// New makes a Controller without pools.
+func New() *Controller { return &Controller{pools: make(map[string]*pool)} }
+
+// SetWindow sets how many requests this entry may have in flight in a pool,
+// and starts what now may start.
+func (c *Controller) SetWindow(name string, window float64) {
+	p := c.pool(name)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.queue.SetWindow(window)
+	p.startWaiting(time.Now())
+}
+
+// pool returns a pool; a new one has no window until SetWindow.
+func (c *Controller) pool(name string) *pool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	p, ok := c.pools[name]
+	if !ok {
+		p = &pool{queue: NewQueue(0)}
+		c.pools[name] = p
+	}
+	return p
+}
+
+// Grant is a started request.
+type Grant struct {
+	// Priority is what to tell the engine.
+	Priority Priority
+	// Waited is how long the request was queued.
+	Waited time.Duration
+
+	pool *pool
+	item *Item
+	once sync.Once
+}
+
+// Acquire waits until the request may start. It returns a *RefusedError if the
+// request can't start in time, or the context's error; nothing is held then.
+// The caller must call Release on the Grant.
+func (c *Controller) Acquire(ctx context.Context, t Ticket) (*Grant, error) {
+	if err := ctx.Err(); err != nil {
+		return nil, err
+	}
+	offered := time.Now()
+	p := c.pool(t.Pool)
+	item := &Item{Ticket: t, ready: make(chan struct{})}
+	if err := p.offer(offered, item); err != nil {
+		return nil, err
+	}
+	if err := p.wait(ctx, item); err != nil {
+		return nil, err
+	}
+	return &Grant{Priority: item.Priority, Waited: time.Since(offered), pool: p, item: item}, nil
+}
+
+func (p *pool) offer(now time.Time, item *Item) error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if err := p.queue.Offer(now, item); err != nil {
+		return err
+	}
+	p.startWaiting(now)
+	return nil
+}
+
+// startWaiting starts all that may start. The lock must be held.
+func (p *pool) startWaiting(now time.Time) {
+	for item := p.queue.Next(now); item != nil; item = p.queue.Next(now) {
+		close(item.ready)
+	}
+}
+
+// wait blocks until the item is started, cancelled or too late.
+func (p *pool) wait(ctx context.Context, item *Item) error {
+	late, stop := lateTimer(item)
+	defer stop()
+	select {
+	case <-item.ready:
+		return nil
+	case <-ctx.Done():
+		p.giveUp(item)
+		return ctx.Err()
+	case <-late:
+		if p.withdraw(item) {
+			return &RefusedError{Reason: DeadlineUnreachable, RetryAfter: minRetryAfter}
+		}
+		return nil
+	}
+}
+
+// lateTimer fires at the item's latest useful start.
+func lateTimer(item *Item) (late <-chan time.Time, stop func()) {
+	by := item.startBy()
+	if by.IsZero() {
+		return nil, func() {}
+	}
+	timer := time.NewTimer(time.Until(by))
+	return timer.C, func() { timer.Stop() }
+}
+
+// withdraw removes a waiting item; false if it was started meanwhile.
+func (p *pool) withdraw(item *Item) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !p.queue.Remove(item) {
+		return false
+	}
+	p.startWaiting(time.Now())
+	return true
+}
+
+// giveUp removes an item whether or not it was started meanwhile.
+func (p *pool) giveUp(item *Item) {
+	if !p.withdraw(item) {
+		p.finish(item, 0)
+	}
+}
+
+func (p *pool) finish(item *Item, actual int64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := time.Now()
+	p.queue.Finish(now, item, actual)
+	p.startWaiting(now)
+}
+
+// Release gives the place back with the tokens the request really took. Only
+// the first call counts.
+func (g *Grant) Release(actualTokens int64) {
+	g.once.Do(func() { g.pool.finish(g.item, actualTokens) })
+}
--- /dev/null
+++ b/internal/flowcontrol/queue_test.go
@@ -0,0 +1,164 @@
+package flowcontrol
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/basilrail/basilrail/internal/settings"
+)
+
+var start = time.Unix(1_000, 0)
+
+func offer(t *testing.T, q *Queue, account settings.AccountID, weight float64, cost int64) *Item {
+	t.Helper()
+	item := &Item{Ticket: Ticket{Account: account, Weight: weight, Cost: cost}}
+	require.NoError(t, q.Offer(start, item))
+	return item
+}
+
+// serve starts and finishes requests one at a time, topping the accounts up
+// again, and returns the tokens each account got.
+func serve(t *testing.T, q *Queue, requests int, refill func(settings.AccountID) *Item, actual func(*Item) int64) map[settings.AccountID]int64 {
+	t.Helper()
+	tokens := make(map[settings.AccountID]int64)
+	for range requests {
+		item := q.Next(start)
+		require.NotNil(t, item)
+		tokens[item.Account] += actual(item)
+		q.Finish(start, item, actual(item))
+		refill(item.Account)
+	}
+	return tokens
+}
+
+func TestQueueSharesByCost(t *testing.T) {
+	type account struct {
+		weight float64
+		cost   int64
+		// actual is what a request really takes.
+		actual int64
+	}
+	testCases := []struct {
+		desc string
+		a, b account
+		// want is the tokens of a for each of b.
+		want float64
+	}{
+		{desc: "equal accounts", a: account{1, 100, 100}, b: account{1, 100, 100}, want: 1},
+		{desc: "large requests count more", a: account{1, 1_000, 1_000}, b: account{1, 100, 100}, want: 1},
+		{desc: "weights", a: account{3, 100, 100}, b: account{1, 100, 100}, want: 3},
+		{desc: "estimates too low are made up for", a: account{1, 10, 100}, b: account{1, 100, 100}, want: 1},
+	}
+	for _, test := range testCases {
+		t.Run(test.desc, func(t *testing.T) {
+			q := NewQueue(1)
+			accounts := map[settings.AccountID]account{"t/a": test.a, "t/b": test.b}
+			refill := func(id settings.AccountID) *Item {
+				return offer(t, q, id, accounts[id].weight, accounts[id].cost)
+			}
+			for range 20 {
+				refill("t/a")
+				refill("t/b")
+			}
+			got := serve(t, q, 2_000, refill, func(i *Item) int64 { return accounts[i.Account].actual })
+			assert.InEpsilon(t, test.want, float64(got["t/a"])/float64(got["t/b"]), 0.05)
+		})
+	}
+}
+
+func TestQueueStartsASmallAccountFirst(t *testing.T) {
+	const window = 32
+	q := NewQueue(window)
+	offer(t, q, "t/small", 1, 10)
+	q.Finish(start, q.Next(start), 10)
+	for range 200 {
+		offer(t, q, "t/large", 1, 1_000)
+	}
+	for q.Next(start) != nil {
+	}
+	assert.Equal(t, window-window/reserveDivisor, q.InFlight(), "a part of the window is kept")
+
+	offer(t, q, "t/small", 1, 10)
+	item := q.Next(start)
+	require.NotNil(t, item, "the small account need not wait for a request to end")
+	assert.Equal(t, settings.AccountID("t/small"), item.Account)
+	assert.Equal(t, PriorityHigh, item.Priority)
+}
+
+func TestQueueKeepsNothingForAnAccountAlone(t *testing.T) {
+	q := NewQueue(32)
+	for range 100 {
+		offer(t, q, "t/large", 1, 1_000)
+	}
+	for q.Next(start) != nil {
+	}
+	assert.Equal(t, 32, q.InFlight())
+}
+
+func TestQueueBoundsAnAccount(t *testing.T) {
+	q := NewQueue(0)
+	for range maxWaiting {
+		offer(t, q, "t/large", 1, 1)
+	}
+	err := q.Offer(start, &Item{Ticket: Ticket{Account: "t/large"}})
+	var refused *RefusedError
+	require.ErrorAs(t, err, &refused)
+	assert.Equal(t, QueueFull, refused.Reason)
+	assert.GreaterOrEqual(t, refused.RetryAfter, minRetryAfter)
+	offer(t, q, "t/small", 1, 1)
+}
+
+func TestQueueForgetsIdleAccounts(t *testing.T) {
+	q := NewQueue(1)
+	now := start
+	for i := range 3 * maxFlows {
+		now = now.Add(activeTime)
+		item := &Item{Ticket: Ticket{Account: settings.AccountID(fmt.Sprint("t/", i))}}
+		require.NoError(t, q.Offer(now, item))
+		q.Finish(now, q.Next(now), 1)
+	}
+	assert.LessOrEqual(t, len(q.flows), maxFlows)
+}
+
+func TestSharesWindow(t *testing.T) {
+	demandOf := func(accounts ...AccountDemand) Demand {
+		return Demand{Pools: []PoolDemand{{Pool: "p", Accounts: accounts}}}
+	}
+	flood := AccountDemand{Account: "t/large", Weight: 1, Requests: 1_000}
+	few := AccountDemand{Account: "t/small", Weight: 1, Requests: 4}
+
+	testCases := []struct {
+		desc    string
+		demands map[string]Demand
+		// want is the window of entry "a", of a capacity of 100.
+		want float64
+	}{
+		{desc: "alone", demands: map[string]Demand{"a": demandOf(few)}, want: 100},
+		{desc: "idle entries share evenly", demands: map[string]Demand{"a": {}, "b": {}}, want: 50},
+		{desc: "a small account keeps its demand under a flood elsewhere", demands: map[string]Demand{"a": demandOf(few), "b": demandOf(flood)}, want: 4},
+		{desc: "the flood gets the rest", demands: map[string]Demand{"a": demandOf(flood), "b": demandOf(few)}, want: 96},
+		{desc: "one account's demand is split by entry", demands: map[string]Demand{"a": demandOf(flood), "b": demandOf(flood)}, want: 50},
+		{desc: "never less than one", demands: map[string]Demand{"a": {}, "b": demandOf(flood)}, want: 1},
+	}
+	for _, test := range testCases {
+		t.Run(test.desc, func(t *testing.T) {
+			shares := NewShares()
+			for entry, d := range test.demands {
+				shares.Hear(start, entry, d)
+			}
+			assert.InDelta(t, test.want, shares.Window(start, "a", "p", 100), 0.01)
+		})
+	}
+
+	t.Run("an entry that fell silent loses its share", func(t *testing.T) {
+		shares := NewShares()
+		shares.Hear(start, "b", demandOf(flood))
+		later := start.Add(demandLife + time.Second)
+		shares.Hear(later, "a", demandOf(few))
+		assert.InDelta(t, 100, shares.Window(later, "a", "p", 100), 0.01)
+	})
+}
