--- a/internal/apierror/apierror.go
+++ b/internal/apierror/apierror.go
@@ -52,6 +52,7 @@
 	CodeBackendFailed    Code = "backend_failed"
 	CodeInterrupted      Code = "interrupted"
 	CodeConflict         Code = "conflict"
+	CodeOutcomeUnknown   Code = "outcome_unknown"
 	CodeNotFound         Code = "not_found"
 	CodeInternal         Code = "internal"
 )
--- a/internal/configsync/apply.go
+++ b/internal/configsync/apply.go
@@ -79,6 +79,13 @@
 // race over other documents is retried. Errors are a findings.List, a
 // *ConflictError, an *UnknownError, ErrUnavailable or ErrChangeIDReused.
 func (s *Syncer) Apply(ctx context.Context, change settings.Change) (ApplyResult, error) {
+	return s.ApplyIf(ctx, change, nil)
+}
+
+// ApplyIf is Apply with a permission that is asked on the very settings that the
+// commit is conditional on, so that a right that was just taken away no longer
+// counts. An error of allowed is returned as it is.
+func (s *Syncer) ApplyIf(ctx context.Context, change settings.Change, allowed func(*settings.Snapshot) error) (ApplyResult, error) {
 	if list := checkChange(change); list.Err() != nil {
 		return ApplyResult{}, list
 	}
@@ -88,7 +95,7 @@
 	case <-ctx.Done():
 		return ApplyResult{}, ErrUnavailable
 	}
-	attempt := &attempt{syncer: s, change: change}
+	attempt := &attempt{syncer: s, change: change, allowed: allowed}
 	result, err := attempt.run(ctx)
 	s.logApply(change, result, err)
 	return result, err
@@ -142,6 +149,8 @@
 type attempt struct {
 	syncer *Syncer
 	change settings.Change
+	// allowed may be nil.
+	allowed func(*settings.Snapshot) error
 	// unsettled is whether a commit was sent whose outcome is not known.
 	unsettled bool
 }
@@ -239,6 +248,11 @@
 
 // commitOn checks the change against a state that equals the head, and commits.
 func (a *attempt) commitOn(ctx context.Context, current *state, headRevision uint64) (ApplyResult, error) {
+	if a.allowed != nil {
+		if err := a.allowed(current.snapshot); err != nil {
+			return ApplyResult{}, err
+		}
+	}
 	if err := findConflicts(current, a.change); err != nil {
 		// Since an attempt of unknown outcome was sent the documents, and so the
 		// head, have changed without it; it can't take effect any more.
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -269,7 +269,7 @@
 	owners := make(map[string]AccountID)
 	for _, team := range sortedKeys(p.tree.Accounts) {
 		for _, name := range sortedKeys(p.tree.Accounts[team]) {
-			path := "/" + teamsPrefix + "/" + team + "/" + accountsName + "/" + name
+			path := AccountPath(team, name)
 			p.checkTeamExists(path, team)
 			p.checkAccount(path, team, p.tree.Accounts[team][name])
 			p.checkKeyOwners(path, NewAccountID(team, name), owners)
--- a/internal/settings/paths.go
+++ b/internal/settings/paths.go
@@ -115,6 +115,11 @@
 // ModelPath is the path of a model's document.
 func ModelPath(model string) string { return "/" + modelsPrefix + "/" + model }
 
+// AccountPath is the path of a client account's document.
+func AccountPath(team, name string) string {
+	return "/" + teamsPrefix + "/" + team + "/" + accountsName + "/" + name
+}
+
 // RolloutPath is the path of a roll-out's document.
 func RolloutPath(team, name string) string {
 	return "/" + teamsPrefix + "/" + team + "/" + rolloutsName + "/" + name
