Add roll-outs: sticky choice, pooled evidence, sequential tests, withdrawal

Choose is pure and sticky by a hash of session and roll-out. Evidence is rated answers counted by team, version and roll-out, in counters that only grow, so that resends and relays count once. Any instance advances or withdraws by a conditional change after a random wait; a suspension goes from peer to peer before that. Where a team may use nothing else, the version stays and that is told.

--- /dev/null
+++ b/internal/rollout/controller_test.go
@@ -0,0 +1,338 @@
+package rollout
+
+import (
+	"context"
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	logtest "github.com/sirupsen/logrus/hooks/test"
+	"github.com/stretchr/testify/require"
+	"go.yaml.in/yaml/v3"
+
+	"github.com/basilrail/basilrail/internal/events"
+	"github.com/basilrail/basilrail/internal/peers/membus"
+	"github.com/basilrail/basilrail/internal/platform"
+	"github.com/basilrail/basilrail/internal/settings"
+	"github.com/basilrail/basilrail/internal/statechart"
+)
+
+// store is the settings of a whole fleet, with conditional changes.
+type store struct {
+	mu       sync.Mutex
+	tree     settings.Tree
+	docs     map[string]settings.Document
+	revision uint64
+	snapshot *settings.Snapshot
+	// outcome, if not committed, is returned; unknown changes take effect.
+	outcome platform.Outcome
+	commits int
+}
+
+func newStore(t *testing.T, tree settings.Tree) *store {
+	s := &store{tree: tree, docs: make(map[string]settings.Document), outcome: platform.OutcomeCommitted, revision: 1}
+	for name, r := range tree.Rollouts["shops"] {
+		body, err := yaml.Marshal(r)
+		require.NoError(t, err)
+		path := "/teams/shops/rollouts/" + name
+		s.docs[path] = settings.Document{Path: path, Body: body, Revision: 1}
+	}
+	s.snapshot = settings.Compile(1, tree)
+	return s
+}
+
+func (s *store) Settings() *settings.Snapshot {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.snapshot
+}
+
+func (s *store) Document(path string) (settings.Document, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	doc, ok := s.docs[path]
+	return doc, ok
+}
+
+func (s *store) Apply(_ context.Context, change settings.Change) platform.Outcome {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	doc := change.Documents[0]
+	switch {
+	case s.outcome == platform.OutcomeNotApplied:
+		return s.outcome
+	case s.docs[doc.Path].Revision != doc.Revision:
+		return platform.OutcomeConflict
+	}
+	var r settings.Rollout
+	if err := yaml.Unmarshal(doc.Body, &r); err != nil {
+		panic(err)
+	}
+	s.commits++
+	s.revision++
+	doc.Revision = s.revision
+	s.docs[doc.Path] = doc
+	rollouts := maps.Clone(s.tree.Rollouts["shops"])
+	if rollouts == nil {
+		rollouts = make(map[string]settings.Rollout)
+	}
+	rollouts[doc.Path[strings.LastIndex(doc.Path, "/")+1:]] = r
+	s.tree.Rollouts = map[string]map[string]settings.Rollout{"shops": rollouts}
+	s.snapshot = settings.Compile(s.revision, s.tree)
+	return s.outcome
+}
+
+func (s *store) setOutcome(o platform.Outcome) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.outcome = o
+}
+
+// fleet is some entry instances in one bubble.
+type fleet struct {
+	store   *store
+	network *membus.Network
+	entries []*Controller
+	stops   []context.CancelFunc
+	log     *logtest.Hook
+	rand    *rand.Rand
+}
+
+func newFleet(t *testing.T, n int, tree settings.Tree) *fleet {
+	charts, err := statechart.Load()
+	require.NoError(t, err)
+	logger, hook := logtest.NewNullLogger()
+	logger.SetLevel(logrus.InfoLevel)
+	f := &fleet{store: newStore(t, tree), network: membus.New(), log: hook, rand: rand.New(rand.NewPCG(7, 7))}
+	for i := range n {
+		c := New(Options{
+			Bus: f.network.Join(fmt.Sprint("entry-", i), "a"), Applier: f.store, Settings: f.store.Settings,
+			Chart: charts.Rollout, Rand: rand.New(rand.NewPCG(9, uint64(i))), Logger: events.NewLogger(logger),
+		})
+		ctx, stop := context.WithCancel(t.Context())
+		f.entries, f.stops = append(f.entries, c), append(f.stops, stop)
+		go c.Run(ctx)
+	}
+	time.Sleep(warmUp + time.Second)
+	return f
+}
+
+// ratingDelay is the time from an answer to its rating.
+const ratingDelay = 2 * time.Second
+
+// traffic sends sessions to random instances for a time; badRate gives each
+// version's. It returns the answers by version.
+func (f *fleet) traffic(d time.Duration, perSecond int, badRate map[string]float64) map[string]Counts {
+	answers := make(map[string]Counts)
+	for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(time.Second / time.Duration(perSecond)) {
+		entry := f.entries[f.rand.IntN(len(f.entries))]
+		choice, ok := entry.Choose(account, fmt.Sprint(f.rand.Uint64()), model)
+		if !ok {
+			continue
+		}
+		good := f.rand.Float64() >= badRate[choice.Ref.Version]
+		time.AfterFunc(ratingDelay, func() { entry.Observe(account, choice.Ref, good) })
+		c := answers[choice.Ref.Version]
+		if good {
+			c.Good++
+		} else {
+			c.Bad++
+		}
+		answers[choice.Ref.Version] = c
+	}
+	return answers
+}
+
+// told counts the log lines of an event.
+func (f *fleet) told(e *events.Event) int {
+	n := 0
+	for _, entry := range f.log.AllEntries() {
+		if entry.Data["event"] == e.Number {
+			n++
+		}
+	}
+	return n
+}
+
+// suspendedWithin waits until every instance refuses the version.
+func (f *fleet) suspendedWithin(t *testing.T, d time.Duration, version string) {
+	t.Helper()
+	off := func() bool {
+		s := f.store.Settings()
+		for _, c := range f.entries {
+			if s.Permission(account, ref(version)) == settings.Permitted && !c.Suspended(account, ref(version)) {
+				return false
+			}
+		}
+		return true
+	}
+	for start := time.Now(); !off(); time.Sleep(10 * time.Millisecond) {
+		require.Less(t, time.Since(start), d, "version %s is still in use", version)
+	}
+}
+
+const (
+	fleetSize  = 9
+	maxBad     = 30
+	everywhere = 6 * time.Second
+)
+
+// A bad version in its first stage is stopped after few bad answers; the store
+// may be up, down, or lose every answer.
+func TestBadVersionIsStopped(t *testing.T) {
+	tests := []struct {
+		desc      string
+		outcome   platform.Outcome
+		perSecond int
+		stored    bool
+	}{
+		{desc: "store up", outcome: platform.OutcomeCommitted, perSecond: 200, stored: true},
+		{desc: "answers of the store lost", outcome: platform.OutcomeUnknown, perSecond: 200, stored: true},
+		{desc: "store down", outcome: platform.OutcomeNotApplied, perSecond: 200},
+		{desc: "store down at peak traffic", outcome: platform.OutcomeNotApplied, perSecond: 5000},
+	}
+	for _, test := range tests {
+		t.Run(test.desc, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFleet(t, fleetSize, tree(map[string]settings.Rollout{"to-2": toTwo(settings.RolloutRunning, 0)}))
+				f.store.setOutcome(test.outcome)
+				answers := f.traffic(20*time.Second, test.perSecond, map[string]float64{"2": 0.5})
+				require.LessOrEqual(t, answers["2"].Bad, uint64(maxBad))
+				f.suspendedWithin(t, everywhere, "2")
+				status := f.store.Settings().Tree.Rollouts["shops"]["to-2"].Status
+				require.Equal(t, test.stored, status == settings.RolloutWithdrawn)
+
+				f.store.setOutcome(platform.OutcomeCommitted)
+				time.Sleep(time.Minute)
+				require.Equal(t, settings.RolloutWithdrawn, f.store.Settings().Tree.Rollouts["shops"]["to-2"].Status, "stored in the end")
+				require.Equal(t, 1, f.store.commits, "by one instance only")
+				require.False(t, f.entries[0].View().Suspended("shops", ref("2")), "the settings rule now")
+			})
+		})
+	}
+}
+
+// A good roll-out passes every stage once, whoever dies on the way.
+func TestGoodRolloutCompletesThoughInstancesDie(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, fleetSize, tree(map[string]settings.Rollout{"to-2": toTwo(settings.RolloutRunning, 0)}))
+		for i := range fleetSize - 2 {
+			f.traffic(20*time.Second, 50, map[string]float64{"1": 0.02, "2": 0.02})
+			f.stops[i]()
+			f.network.Cut(fmt.Sprint("entry-", i), true)
+		}
+		f.entries = f.entries[fleetSize-2:]
+		f.traffic(5*time.Minute, 50, map[string]float64{"1": 0.02, "2": 0.02})
+		require.Equal(t, settings.RolloutComplete, f.store.Settings().Tree.Rollouts["shops"]["to-2"].Status)
+		require.Equal(t, 3, f.store.commits, "two stages and the end, none skipped or repeated")
+		require.Equal(t, fleetSize, f.told(events.RolloutSeen))
+	})
+}
+
+// An instance that judged a stage and was paused does not change a later one.
+func TestPausedInstanceChangesNothingLater(t *testing.T) {
+	tests := []struct {
+		desc      string
+		meanwhile settings.Rollout
+	}{
+		{desc: "another instance advanced it", meanwhile: toTwo(settings.RolloutRunning, 1)},
+		{desc: "an operator paused it", meanwhile: toTwo(settings.RolloutPaused, 0)},
+		{desc: "an operator withdrew it", meanwhile: toTwo(settings.RolloutWithdrawn, 0)},
+	}
+	for _, test := range tests {
+		t.Run(test.desc, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFleet(t, 1, tree(map[string]settings.Rollout{"to-2": toTwo(settings.RolloutRunning, 0)}))
+				stale := plan{
+					trial: Trial{Team: "shops", Ref: ref("2"), Rollout: "to-2"},
+					event: statechart.RolloutStagePassed, rollout: toTwo(settings.RolloutRunning, 0), revision: 1,
+				}
+				f.store.Apply(t.Context(), settings.Change{Documents: []settings.Document{{
+					Path: stale.trial.path(), Body: mustYAML(t, test.meanwhile), Revision: 1,
+				}}})
+				f.entries[0].carryOut(t.Context(), stale)
+				require.Equal(t, test.meanwhile, f.store.Settings().Tree.Rollouts["shops"]["to-2"])
+			})
+		})
+	}
+}
+
+func mustYAML(t *testing.T, r settings.Rollout) []byte {
+	body, err := yaml.Marshal(r)
+	require.NoError(t, err)
+	return body
+}
+
+// A version that turns bad at full traffic goes off everywhere, with or without
+// a roll-out to its name, and the team's other version answers.
+func TestVersionTurnsBadAtFullTraffic(t *testing.T) {
+	tests := []struct {
+		desc     string
+		rollouts map[string]settings.Rollout
+		version  string
+		outcome  platform.Outcome
+		document string
+	}{
+		{
+			desc: "after a complete roll-out", rollouts: map[string]settings.Rollout{"to-2": toTwo(settings.RolloutComplete, 2)},
+			version: "2", outcome: platform.OutcomeCommitted, document: "to-2",
+		},
+		{desc: "stable without a roll-out", version: "1", outcome: platform.OutcomeCommitted, document: "withdraw-writer-1"},
+		{desc: "stable without a roll-out, store down", version: "1", outcome: platform.OutcomeNotApplied},
+	}
+	for _, test := range tests {
+		t.Run(test.desc, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFleet(t, fleetSize, tree(test.rollouts))
+				before := f.traffic(time.Minute, 50, map[string]float64{test.version: 0.02})
+				require.Positive(t, before[test.version].Good)
+				f.store.setOutcome(test.outcome)
+				f.traffic(10*time.Second, 50, map[string]float64{test.version: 0.5})
+				f.suspendedWithin(t, everywhere, test.version)
+				after := f.traffic(30*time.Second, 50, nil)
+				require.Zero(t, after[test.version].Total())
+				require.Positive(t, after[otherThan(test.version)].Total())
+				if test.document != "" {
+					require.Equal(t, settings.RolloutWithdrawn, f.store.Settings().Tree.Rollouts["shops"][test.document].Status)
+				}
+			})
+		})
+	}
+}
+
+func otherThan(version string) string {
+	if version == "1" {
+		return "2"
+	}
+	return "1"
+}
+
+// Where the team may use nothing else, the bad version stays and that is told once
+// by each instance.
+func TestBadVersionWithoutAlternativeStays(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		tree := tree(nil)
+		tree.Teams["shops"].Models[model] = settings.TeamModel{Stable: "1", Allowed: []string{"1"}}
+		f := newFleet(t, 3, tree)
+		f.traffic(time.Minute, 50, map[string]float64{"1": 0.02})
+		f.traffic(30*time.Second, 50, map[string]float64{"1": 0.5})
+		choice, ok := f.entries[0].Choose(account, "s", model)
+		require.True(t, ok)
+		require.Equal(t, ref("1"), choice.Ref)
+		require.Equal(t, 3, f.told(events.VersionBadNoAlternative))
+	})
+}
+
+func FuzzDecode(f *testing.F) {
+	f.Add([]byte{0xa2, 0x01, 0x01, 0x02, 0x80})
+	f.Fuzz(func(_ *testing.T, body []byte) {
+		_, _ = decodeEvidence(body)
+		_, _ = decodeSuspensions(body)
+	})
+}
--- a/internal/settings/snapshot.go
+++ b/internal/settings/snapshot.go
@@ -94,14 +94,20 @@
 	if !ok || !view.usesModel(ref.Model) {
 		return NotAllowed
 	}
+	return s.TeamPermission(view.TeamName, ref)
+}
+
+// TeamPermission tells whether the team may use the version now, whatever its
+// client accounts' own lists say.
+func (s *Snapshot) TeamPermission(team string, ref VersionRef) Permission {
 	version, ok := s.Tree.Models[ref.Model].Versions[ref.Version]
 	if !ok {
 		return NotAllowed
 	}
-	if version.Withdrawn || s.rolloutWithdrew(view.TeamName, ref) {
+	if version.Withdrawn || s.rolloutWithdrew(team, ref) {
 		return VersionWithdrawn
 	}
-	if !slices.Contains(view.Team.Models[ref.Model].Allowed, ref.Version) {
+	if !slices.Contains(s.Tree.Teams[team].Models[ref.Model].Allowed, ref.Version) {
 		return NotAllowed
 	}
 	return Permitted
