--- a/internal/platform/memtable/memtable.go
+++ b/internal/platform/memtable/memtable.go
@@ -12,6 +12,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/basilrail/basilrail/internal/platform"
+	"github.com/basilrail/basilrail/internal/wait"
 )
 
 // Faults is what goes wrong; the zero value is a table in good order.
@@ -71,7 +72,7 @@
 
 // Commit applies the transaction, subject to the fault switches.
 func (t *Table) Commit(ctx context.Context, txn platform.Txn) platform.Result {
-	if err := t.wait(ctx); err != nil {
+	if err := t.delay(ctx); err != nil {
 		return platform.Result{Outcome: platform.OutcomeUnknown}
 	}
 	result, hook := t.commit(txn)
@@ -144,6 +145,18 @@
 	if err := t.read(ctx); err != nil {
 		return nil, err
 	}
+	rows := t.sorted(prefix, after)
+	if limit > 0 && len(rows) > limit {
+		rows = rows[:limit]
+	}
+	return rows, nil
+}
+
+// Rows returns the rows with a prefix in key order, whatever the fault switches
+// say, and counts no read.
+func (t *Table) Rows(prefix string) []platform.Row { return t.sorted(prefix, "") }
+
+func (t *Table) sorted(prefix, after string) []platform.Row {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var rows []platform.Row
@@ -153,15 +166,12 @@
 		}
 	}
 	sort.Slice(rows, func(i, j int) bool { return rows[i].Key < rows[j].Key })
-	if limit > 0 && len(rows) > limit {
-		rows = rows[:limit]
-	}
-	return rows, nil
+	return rows
 }
 
 // read counts a read and fails it while the table is down.
 func (t *Table) read(ctx context.Context) error {
-	if err := t.wait(ctx); err != nil {
+	if err := t.delay(ctx); err != nil {
 		return errors.Wrap(platform.ErrUnavailable, err.Error())
 	}
 	t.mu.Lock()
@@ -173,20 +183,10 @@
 	return nil
 }
 
-// wait sleeps for the configured delay, or until the context ends.
-func (t *Table) wait(ctx context.Context) error {
+// delay sleeps for the configured delay, or until the context ends.
+func (t *Table) delay(ctx context.Context) error {
 	t.mu.Lock()
 	delay := t.faults.Delay
 	t.mu.Unlock()
-	if delay <= 0 {
-		return ctx.Err()
-	}
-	timer := time.NewTimer(delay)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
+	return wait.For(ctx, delay)
 }
