--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -6,6 +6,7 @@
 	"context"
 	"encoding/json"
 	"net/http"
+	"time"
 
 	"github.com/go-chi/chi/v5"
 
@@ -24,6 +25,7 @@
 	Check(docs []settings.Document) findings.List
 	ApplyIf(ctx context.Context, change settings.Change, allowed func(*settings.Snapshot) error) (configsync.ApplyResult, error)
 	Status(ctx context.Context) []configsync.InstanceStatus
+	Vouch() (ok bool, reason string, retryAfter time.Duration)
 }
 
 var _ Settings = (*configsync.Syncer)(nil)
--- a/internal/admin/admin_test.go
+++ b/internal/admin/admin_test.go
@@ -58,6 +58,7 @@
 		Bus:   membus.New().Join("entry-0", "h"),
 		Rand:  rand.New(rand.NewPCG(1, 1)),
 	})
+	startSyncer(t, syncer)
 	f := &fixture{T: t, table: table, handler: New(Options{
 		Settings: syncer, Explainer: fakeRecords{}, Bills: fakeRecords{}, BootstrapKeySHA256: settings.HashKey("first"),
 	})}
@@ -73,6 +74,17 @@
 	return f
 }
 
+// startSyncer runs an instance until it knows its settings.
+func startSyncer(t *testing.T, syncer *configsync.Syncer) {
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	go syncer.Run(ctx)
+	require.Eventually(t, func() bool {
+		ok, _, _ := syncer.Vouch()
+		return ok
+	}, time.Minute, time.Millisecond)
+}
+
 // call sends a request and decodes its answer, unless answer is nil.
 func (f *fixture) call(key, method, target string, body any, wantStatus int, answer any) {
 	f.Helper()
@@ -138,6 +150,16 @@
 	assert.Equal(t, "/teams/t/rollouts/m2", answer.Documents[1].Path)
 }
 
+func TestInstanceWithoutSettingsCanNotTellKeysApart(t *testing.T) {
+	syncer := configsync.New(configsync.Options{Table: memtable.New(), Bus: membus.New().Join("entry-0", "h"), Rand: rand.New(rand.NewPCG(1, 1))})
+	f := &fixture{T: t, handler: New(Options{Settings: syncer, BootstrapKeySHA256: settings.HashKey("first")})}
+	for _, key := range []string{"root", "first"} {
+		var refusal adminapi.ErrorBody
+		f.call(key, "GET", adminapi.PathSettings, nil, http.StatusServiceUnavailable, &refusal)
+		assert.Equal(t, apierror.CodeSettingsStale, refusal.Error.Code)
+	}
+}
+
 func TestConflictCarriesTheDifference(t *testing.T) {
 	f := newFixture(t)
 	change := func(id, target string) adminapi.Change {
@@ -154,8 +176,8 @@
 
 func TestRightTakenAwayNoLongerCounts(t *testing.T) {
 	f := newFixture(t)
-	// Another instance commits settings without the operator; this one, which does
-	// not poll here, still knows the operator when the request comes.
+	// Another instance, whose hints do not arrive, commits settings without the
+	// operator; this one still knows the operator when the request comes.
 	other := configsync.New(configsync.Options{Table: f.table, Bus: membus.New().Join("entry-1", "h"), Rand: rand.New(rand.NewPCG(1, 2))})
 	_, err := other.Apply(context.Background(), settings.Change{ID: "o", Documents: []settings.Document{
 		{Path: "/fleet", Body: []byte(operatorsDoc + operator("root", settings.RoleEditor, "/")), Revision: 1},
--- a/internal/admin/auth.go
+++ b/internal/admin/auth.go
@@ -19,8 +19,7 @@
 		key, found := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
 		operator, known := a.operatorByHash(a.Settings.Snapshot(), settings.HashKey(key))
 		if !found || !known {
-			a.Log.Log(events.OperatorRefused, events.Fields{Path: r.URL.Path, Reason: "unknown key"})
-			apierror.New(http.StatusUnauthorized, apierror.CodeUnauthenticated, "the operator's key is missing or unknown").Write(w)
+			a.refuseKey(w, r)
 			return
 		}
 		r.Body = http.MaxBytesReader(w, r.Body, maxBodyBytes)
@@ -28,11 +27,31 @@
 	})
 }
 
+// refuseKey refuses a key that is not known here. An instance that may have
+// missed a change can't tell that the key is wrong.
+func (a *api) refuseKey(w http.ResponseWriter, r *http.Request) {
+	if err := a.stale(); err != nil {
+		err.Write(w)
+		return
+	}
+	a.Log.Log(events.OperatorRefused, events.Fields{Path: r.URL.Path, Reason: "unknown key"})
+	apierror.New(http.StatusUnauthorized, apierror.CodeUnauthenticated, "the operator's key is missing or unknown").Write(w)
+}
+
+// stale refuses while this instance can't tell whether its settings are current.
+func (a *api) stale() *apierror.Error {
+	ok, reason, retryAfter := a.Settings.Vouch()
+	if ok {
+		return nil
+	}
+	return apierror.New(http.StatusServiceUnavailable, apierror.CodeSettingsStale, "%s", reason).Retry(retryAfter)
+}
+
 // operatorByHash compares with every operator's hash, always all of them, so
 // that the time taken does not tell which one matched.
 func (a *api) operatorByHash(snapshot *settings.Snapshot, sum string) (settings.Operator, bool) {
 	operators := snapshot.Tree.Fleet.Operators
-	if snapshot.Revision == 0 && a.BootstrapKeySHA256 != "" {
+	if snapshot.Revision == 0 && a.BootstrapKeySHA256 != "" && a.stale() == nil {
 		operators = []settings.Operator{{
 			Name: "bootstrap", KeySHA256: a.BootstrapKeySHA256, Role: settings.RoleEditor, Subtree: "/",
 		}}
--- a/internal/admin/edit.go
+++ b/internal/admin/edit.go
@@ -46,6 +46,9 @@
 }
 
 func (a *api) editOnce(r *http.Request, changeID string, plan func(*settings.Snapshot) (edit, error)) (adminapi.ApplyResult, error) {
+	if err := a.stale(); err != nil {
+		return adminapi.ApplyResult{}, err
+	}
 	current := a.Settings.Snapshot()
 	todo, err := plan(current)
 	if err != nil {
--- a/internal/adminapi/adminapi.go
+++ b/internal/adminapi/adminapi.go
@@ -42,8 +42,8 @@
 	Path string `json:"path"`
 	// Body is the YAML text; Tree leaves it out.
 	Body string `json:"body,omitempty"`
-	// Revision is the one that last changed the document, or in a change the one
-	// it was made from, zero for a new document.
+	// Revision is the one that last changed the document, or in a change one at
+	// which it was read, zero for a new document.
 	Revision uint64 `json:"revision"`
 	Bytes    int    `json:"bytes,omitempty"`
 }
--- a/internal/configsync/apply.go
+++ b/internal/configsync/apply.go
@@ -294,7 +294,7 @@
 	conflict := &ConflictError{Revision: current.revision}
 	for _, doc := range change.Documents {
 		now := current.docs[doc.Path]
-		if now.Revision == doc.Revision || bytes.Equal(now.Body, doc.Body) {
+		if madeFrom(now, doc, current.revision) || bytes.Equal(now.Body, doc.Body) {
 			continue
 		}
 		now.Path = doc.Path
@@ -307,6 +307,15 @@
 	return nil
 }
 
+// madeFrom reports whether a document was made from the one that stands now: it
+// was absent then and is now, or has not changed since the revision it was read at.
+func madeFrom(now, doc settings.Document, newest uint64) bool {
+	if now.Revision == 0 || doc.Revision == 0 {
+		return now.Revision == doc.Revision
+	}
+	return now.Revision <= doc.Revision && doc.Revision <= newest
+}
+
 // txn builds the transaction: it holds only if the head has not moved and the
 // change id is new, so of two copies of it at most one takes effect.
 func (a *attempt) txn(ctx context.Context, entry logEntry, headRevision uint64) (platform.Txn, error) {
--- a/internal/configsync/configsync_test.go
+++ b/internal/configsync/configsync_test.go
@@ -71,6 +71,27 @@
 	})
 }
 
+func TestMadeFrom(t *testing.T) {
+	testCases := []struct {
+		desc        string
+		now, readAt uint64
+		want        bool
+	}{
+		{desc: "new and absent", want: true},
+		{desc: "new, but another operator made it", now: 4},
+		{desc: "deleted since it was read", readAt: 4},
+		{desc: "unchanged", now: 4, readAt: 4, want: true},
+		{desc: "unchanged since a later revision", now: 4, readAt: 6, want: true},
+		{desc: "changed since it was read", now: 5, readAt: 4},
+		{desc: "read at a revision that does not exist yet", now: 4, readAt: 8},
+	}
+	for _, tc := range testCases {
+		t.Run(tc.desc, func(t *testing.T) {
+			assert.Equal(t, tc.want, madeFrom(settings.Document{Revision: tc.now}, settings.Document{Revision: tc.readAt}, 7))
+		})
+	}
+}
+
 func TestOperatorsRaceAtTheSameInstant(t *testing.T) {
 	inBubble(t, 9, func(t *testing.T, f *fleet) {
 		f.table.SetFaults(memtable.Faults{Delay: 10 * time.Millisecond})
@@ -269,6 +290,19 @@
 	})
 }
 
+func TestReturningInstanceLoadsBeyondTheLog(t *testing.T) {
+	inBubble(t, 2, func(t *testing.T, f *fleet) {
+		f.cut(1, true)
+		for revision := uint64(1); revision < 4; revision++ {
+			_, err := f.nodes[0].Apply(background, f.change(modelDoc("m", int(revision), revision)))
+			require.NoError(t, err)
+		}
+		f.table.Commit(background, platform.Txn{Mutations: []platform.Mutation{{Key: logKey(2), Delete: true}}})
+		f.nodes[1].table.cut.Store(false)
+		f.waitFor(t, 4, f.nodes[1])
+	})
+}
+
 func TestStatusNamesWhoLags(t *testing.T) {
 	inBubble(t, 3, func(t *testing.T, f *fleet) {
 		f.nodes[2].table.cut.Store(true)
--- a/internal/configsync/status.go
+++ b/internal/configsync/status.go
@@ -57,6 +57,7 @@
 
 func (s *Syncer) ownStatus() InstanceStatus {
 	status := statusFrom(s.opts.Bus.Self(), s.reply(fetchRequest{Since: math.MaxUint64}))
+	status.FailureDomain = s.opts.FailureDomain
 	status.Current = s.doubt() == ""
 	return status
 }
--- a/internal/configsync/syncer.go
+++ b/internal/configsync/syncer.go
@@ -15,10 +15,12 @@
 	"github.com/basilrail/basilrail/internal/settings"
 )
 
-// Options are what a Syncer needs. All but OnChange and Log are required.
+// Options are what a Syncer needs. Table, Bus and Rand are required.
 type Options struct {
 	Table platform.Table
 	Bus   peers.Bus
+	// FailureDomain is this instance's, for Status.
+	FailureDomain string
 	// Rand spreads polls and picks peers; the Syncer owns it.
 	Rand *rand.Rand
 	Log  *events.Logger
--- a/internal/settings/types.go
+++ b/internal/settings/types.go
@@ -252,8 +252,8 @@
 	ID string `json:"id" cbor:"id"`
 	// Author is the operator's name, or the entry instance's.
 	Author string `json:"author" cbor:"author"`
-	// Documents carry the new bodies; Revision is the one each was made from,
-	// zero where the document must be new.
+	// Documents carry the new bodies; Revision is a settings revision at which
+	// each was read, zero where the document must be new.
 	Documents []Document `json:"documents" cbor:"documents"`
 }
 
