Record bills once with peers and batched rows

A bill is durable when a peer in another failure domain holds it or its block is stored. An instance gathers its records in blocks and inserts one row a block under a key that the block names; holders store the blocks of an owner that is gone under their own keys, and the reader counts each (client account, request id) once. Memory is bounded, and new work is refused before it starts when it is full or records wait.

--- /dev/null
+++ b/internal/billing/handover.go
@@ -0,0 +1,145 @@
+package billing
+
+import (
+	"context"
+	"sort"
+	"time"
+
+	"github.com/basilrail/basilrail/internal/peers"
+	"github.com/basilrail/basilrail/internal/wait"
+)
+
+const (
+	// handoverWindow is how long records are gathered for one handover.
+	handoverWindow = 5 * time.Millisecond
+	// handoverTimeout bounds the wait for a peer's acknowledgement.
+	handoverTimeout = 250 * time.Millisecond
+	// handoverRetry is the wait when no peer took a batch.
+	handoverRetry = 500 * time.Millisecond
+	// smallFleet is the largest fleet in which two peers hold each record; in a
+	// larger one a second copy would pass the budget for control traffic.
+	smallFleet = 64
+)
+
+// copies is how many peers are asked to hold a record.
+func copies(instances int) int {
+	if instances <= smallFleet {
+		return 2
+	}
+	return 1
+}
+
+func (l *Ledger) handoverLoop(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-l.handoverDue:
+		}
+		if wait.For(ctx, handoverWindow) != nil {
+			return
+		}
+		for _, b := range l.takeDue() {
+			go l.deliver(ctx, b)
+		}
+	}
+}
+
+// deliver hands a batch to peers until one acknowledges it, or its block is
+// stored.
+func (l *Ledger) deliver(ctx context.Context, b *batch) {
+	failed := make(map[string]bool)
+	for ctx.Err() == nil && !isClosed(b.durable) {
+		targets := l.targets(b.block.id, failed)
+		if l.offer(ctx, b, targets) {
+			l.markDurable(b)
+			return
+		}
+		for _, target := range targets {
+			failed[target.ID] = true
+		}
+		if len(targets) > 0 {
+			continue
+		}
+		clear(failed)
+		signal(l.flushDue)
+		b.settledWithin(ctx, handoverRetry)
+	}
+}
+
+func (l *Ledger) markDurable(b *batch) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.settle(b)
+}
+
+func isClosed(done <-chan struct{}) bool {
+	select {
+	case <-done:
+		return true
+	default:
+		return false
+	}
+}
+
+// settledWithin waits until the batch is durable, for a time at most.
+func (b *batch) settledWithin(ctx context.Context, d time.Duration) {
+	ctx, cancel := context.WithTimeout(ctx, d)
+	defer cancel()
+	select {
+	case <-b.durable:
+	case <-ctx.Done():
+	}
+}
+
+// offer sends a batch to all targets at once and reports whether one took it;
+// a slow target does not delay the answer of the other.
+func (l *Ledger) offer(ctx context.Context, b *batch, targets []peers.Peer) bool {
+	taken := make(chan bool, len(targets))
+	for _, target := range targets {
+		go func() { taken <- l.offerTo(ctx, b, target.ID) }()
+	}
+	for range targets {
+		if <-taken {
+			return true
+		}
+	}
+	return false
+}
+
+func (l *Ledger) offerTo(ctx context.Context, b *batch, peer string) bool {
+	ctx, cancel := context.WithTimeout(ctx, handoverTimeout)
+	defer cancel()
+	l.mu.Lock()
+	b.block.holders[peer] = true
+	l.mu.Unlock()
+	message := handover{Block: b.block.id, Records: b.records}
+	return l.cfg.Bus.Request(ctx, peer, peers.KindBill, message, nil) == nil
+}
+
+// targets picks connected peers in other failure domains, different ones from
+// block to block and in different failure domains where there are several.
+func (l *Ledger) targets(id blockID, failed map[string]bool) []peers.Peer {
+	all := l.cfg.Bus.Peers()
+	candidates := elsewhere(all, l.cfg.FailureDomain, failed)
+	if len(candidates) == 0 {
+		return nil
+	}
+	start := int(id.Number % uint64(len(candidates)))
+	rotated := append(candidates[start:len(candidates):len(candidates)], candidates[:start]...)
+	first := rotated[0]
+	sort.SliceStable(rotated[1:], func(i, j int) bool {
+		return rotated[i+1].FailureDomain != first.FailureDomain && rotated[j+1].FailureDomain == first.FailureDomain
+	})
+	return rotated[:min(len(rotated), copies(len(all)+1))]
+}
+
+func elsewhere(all []peers.Peer, failureDomain string, failed map[string]bool) []peers.Peer {
+	var candidates []peers.Peer
+	for _, p := range all {
+		if p.Connected && p.FailureDomain != failureDomain && !failed[p.ID] {
+			candidates = append(candidates, p)
+		}
+	}
+	return candidates
+}
--- /dev/null
+++ b/internal/billing/ledger_test.go
@@ -0,0 +1,317 @@
+package billing
+
+import (
+	"context"
+	"fmt"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/basilrail/basilrail/internal/peers/membus"
+	"github.com/basilrail/basilrail/internal/platform"
+	"github.com/basilrail/basilrail/internal/platform/memtable"
+	"github.com/basilrail/basilrail/internal/settings"
+)
+
+// entry is one instance with its ledger.
+type entry struct {
+	*Ledger
+	id    string
+	stop  context.CancelFunc
+	table *pausedTable
+}
+
+// pausedTable stops committing while paused.
+type pausedTable struct {
+	*memtable.Table
+	paused atomic.Bool
+}
+
+func (p *pausedTable) Commit(ctx context.Context, txn platform.Txn) platform.Result {
+	if p.paused.Load() {
+		return platform.Result{Outcome: platform.OutcomeNotApplied}
+	}
+	return p.Table.Commit(ctx, txn)
+}
+
+// fleet is three entries in three failure domains over one table.
+type fleet struct {
+	t       *testing.T
+	table   *memtable.Table
+	network *membus.Network
+	entries []*entry
+}
+
+func newFleet(t *testing.T) *fleet {
+	f := &fleet{t: t, table: memtable.New(), network: membus.New()}
+	for i := range 3 {
+		f.entries = append(f.entries, f.start(fmt.Sprintf("e%d", i), fmt.Sprintf("hall-%d", i)))
+	}
+	t.Cleanup(f.stopAll)
+	return f
+}
+
+func (f *fleet) start(id, domain string) *entry {
+	ctx, cancel := context.WithCancel(context.Background())
+	table := &pausedTable{Table: f.table}
+	bus := f.network.Join(id, domain)
+	e := &entry{id: id, stop: cancel, table: table}
+	e.Ledger = New(Config{Bus: bus, FailureDomain: domain, Commits: table, Reads: f.table})
+	go e.Run(ctx)
+	return e
+}
+
+func (f *fleet) stopAll() {
+	for _, e := range f.entries {
+		e.stop()
+	}
+}
+
+// kill ends an entry without any handover.
+func (f *fleet) kill(e *entry) {
+	e.stop()
+	f.network.Cut(e.id, true)
+}
+
+func (f *fleet) reconcile() Reconciliation {
+	result, err := NewReader(f.table).Reconcile(f.t.Context(), time.Time{}, time.Time{})
+	require.NoError(f.t, err)
+	return result
+}
+
+// requireBilled checks that exactly the first n bills stand, each once.
+func (f *fleet) requireBilled(n int) {
+	result := f.reconcile()
+	require.Empty(f.t, result.Conflicts)
+	require.Len(f.t, result.Accounts, 1)
+	require.Equal(f.t, AccountTotal{Account: "shop", Bills: n, Total: settings.MicroUnits(n * 100)}, result.Accounts[0])
+}
+
+func bill(i int) Record {
+	return Record{
+		Account:   "shop",
+		RequestID: fmt.Sprintf("r%06d", i),
+		Lines:     []Line{{AttemptID: "a", Target: "small@1", Server: "s1", InputTokens: 300, OutputTokens: 90, Cost: 100, Billed: true}},
+		Total:     100,
+	}
+}
+
+func TestOwnerKilledBetweenSendAndFlush(t *testing.T) {
+	tests := []struct {
+		desc string
+		// before runs before the bill is recorded, after once it is durable.
+		before, after func(f *fleet, owner *entry)
+		// duplicates are the rows beyond the first: both holders store for a lost owner.
+		duplicates int
+	}{
+		{
+			desc:       "after the acknowledgement, before the flush",
+			after:      func(f *fleet, owner *entry) { f.kill(owner) },
+			duplicates: 1,
+		},
+		{
+			desc: "after the flush took effect, its answer lost",
+			before: func(f *fleet, owner *entry) {
+				f.table.SetFaults(memtable.Faults{LoseAnswers: true})
+			},
+			after: func(f *fleet, owner *entry) {
+				time.Sleep(1500 * time.Millisecond)
+				f.kill(owner)
+				f.table.SetFaults(memtable.Faults{})
+			},
+		},
+		{
+			desc: "after the flush, before the holders are told",
+			after: func(f *fleet, owner *entry) {
+				f.network.Cut(owner.id, true)
+				time.Sleep(1500 * time.Millisecond)
+				f.kill(owner)
+			},
+		},
+		{
+			desc:   "during a store outage",
+			before: func(f *fleet, owner *entry) { f.table.SetFaults(memtable.Faults{Down: true}) },
+			after: func(f *fleet, owner *entry) {
+				f.kill(owner)
+				time.Sleep(10 * time.Minute)
+				f.table.SetFaults(memtable.Faults{})
+			},
+			duplicates: 1,
+		},
+		{
+			desc: "paused, and back after the peers stored it",
+			after: func(f *fleet, owner *entry) {
+				owner.table.paused.Store(true)
+				f.network.Cut(owner.id, true)
+				time.Sleep(time.Minute)
+				owner.table.paused.Store(false)
+				f.network.Cut(owner.id, false)
+			},
+			duplicates: 2,
+		},
+	}
+	for _, test := range tests {
+		t.Run(test.desc, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFleet(t)
+				owner := f.entries[0]
+				if test.before != nil {
+					test.before(f, owner)
+				}
+				require.NoError(t, owner.Record(t.Context(), bill(0)))
+				synctest.Wait() // both holders have it
+				test.after(f, owner)
+				time.Sleep(5 * time.Minute)
+				f.requireBilled(1)
+				require.Equal(t, test.duplicates, f.reconcile().Duplicates)
+				require.Zero(t, f.entries[1].Held()+f.entries[2].Held(), "holders have let go")
+			})
+		})
+	}
+}
+
+func TestDurableOnlyInAnotherFailureDomainOrTheStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t)
+		f.entries = append(f.entries, f.start("e9", "hall-0"))
+		f.network.Cut("e1", true)
+		f.network.Cut("e2", true)
+		f.table.SetFaults(memtable.Faults{Down: true})
+		owner := f.entries[0]
+		ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+		defer cancel()
+		require.NoError(t, owner.Admit())
+		require.ErrorIs(t, owner.Record(ctx, bill(0)), context.DeadlineExceeded)
+		require.ErrorIs(t, owner.Admit(), ErrNotDurable)
+
+		f.table.SetFaults(memtable.Faults{})
+		require.NoError(t, owner.Record(t.Context(), bill(1)), "the store alone is enough")
+		require.NoError(t, owner.Admit())
+		f.requireBilled(2)
+	})
+}
+
+func TestTenMinuteOutageIsBoundedAndRefusedBeforeTheWork(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t)
+		f.table.SetFaults(memtable.Faults{Down: true})
+		owner := f.entries[0]
+		const perSecond = 70
+		admitted, refused := 0, 0
+		for i := range 600 * perSecond {
+			time.Sleep(time.Second / perSecond)
+			if owner.Admit() != nil {
+				refused++
+				continue
+			}
+			require.NoError(t, owner.Record(t.Context(), bill(i)))
+			admitted++
+		}
+		t.Logf("admitted %d, refused %d", admitted, refused)
+		require.Positive(t, refused)
+		require.LessOrEqual(t, owner.bytes, MaxOwnBytes)
+		require.LessOrEqual(t, f.entries[1].held.bytes, MaxHeldBytes)
+
+		f.table.SetFaults(memtable.Faults{})
+		time.Sleep(time.Minute)
+		require.NoError(t, owner.Admit())
+		f.requireBilled(admitted)
+		require.Zero(t, owner.bytes)
+		require.Zero(t, f.entries[1].held.bytes)
+	})
+}
+
+func TestSlowPeerDoesNotDelayTheOther(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t)
+		f.entries[1].held.mu.Lock() // its handler hangs
+		defer f.entries[1].held.mu.Unlock()
+		start := time.Now()
+		require.NoError(t, f.entries[0].Record(t.Context(), bill(0)))
+		require.Less(t, time.Since(start), handoverTimeout)
+		f.stopAll()
+	})
+}
+
+func TestDuplicateRecordIsOneBill(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t)
+		require.NoError(t, f.entries[0].Record(t.Context(), bill(0)))
+		time.Sleep(3 * time.Second)
+		require.NoError(t, f.entries[1].Record(t.Context(), bill(0)))
+		time.Sleep(3 * time.Second)
+		f.requireBilled(1)
+		require.Equal(t, 1, f.reconcile().Duplicates)
+		other := bill(0)
+		other.Total = 7
+		require.NoError(t, f.entries[2].Record(t.Context(), other))
+		time.Sleep(3 * time.Second)
+		require.Len(t, f.reconcile().Conflicts, 1)
+	})
+}
+
+func TestCloseStoresOrHandsOver(t *testing.T) {
+	tests := []struct {
+		desc string
+		down bool
+		cut  bool
+		lost int
+	}{
+		{desc: "store up"},
+		{desc: "store down, peers up", down: true},
+		{desc: "store down, cut off", down: true, cut: true, lost: 1},
+	}
+	for _, test := range tests {
+		t.Run(test.desc, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFleet(t)
+				owner := f.entries[0]
+				f.table.SetFaults(memtable.Faults{Down: test.down})
+				f.network.Cut(owner.id, test.cut)
+				ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+				defer cancel()
+				_ = owner.Record(ctx, bill(0))
+				closing, end := context.WithTimeout(t.Context(), 20*time.Second)
+				defer end()
+				require.Equal(t, test.lost, owner.Close(closing))
+				f.kill(owner)
+				time.Sleep(time.Minute)
+				f.table.SetFaults(memtable.Faults{})
+				time.Sleep(time.Minute)
+				if test.lost == 0 {
+					f.requireBilled(1)
+				}
+			})
+		})
+	}
+}
+
+func TestListPages(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t)
+		for i := range 10 {
+			require.NoError(t, f.entries[i%3].Record(t.Context(), bill(i)))
+			time.Sleep(1100 * time.Millisecond)
+		}
+		time.Sleep(3 * time.Second)
+		reader := NewReader(f.table)
+		var ids []string
+		after := ""
+		for pages := 0; pages == 0 || after != ""; pages++ {
+			page, err := reader.List(t.Context(), "shop", after, 3)
+			require.NoError(t, err)
+			for _, b := range page.Bills {
+				ids = append(ids, b.RequestID)
+			}
+			after = page.Next
+		}
+		require.Len(t, ids, 10)
+		require.IsIncreasing(t, ids)
+		page, err := reader.List(t.Context(), "other", "", 3)
+		require.NoError(t, err)
+		require.Empty(t, page.Bills)
+	})
+}
