Serve the whole path as separate processes

Callers, operators and health are served by each entry instance; settings come from the table service, claims and bills go to it, backend servers are polled. The first whole-path tests run in virtual time over in-memory connections: withdrawal (also of queued requests and pinned sessions), tokens, whole answers, 'not run', lost answers, graceful shutdown, leaving servers.

--- a/internal/cascade/planner.go
+++ b/internal/cascade/planner.go
@@ -57,7 +57,7 @@
 		in.Candidates = append(in.Candidates, Candidate{
 			Ref:      ref,
 			Cost:     q.cost(snap, ref),
-			Duration: p.expectedDuration(ref),
+			Duration: p.ExpectedDuration(ref),
 			Pass:     p.Learner.Estimate(now, Key{Account: q.Account, Task: q.Task, Version: ref}),
 			Trusted:  i == len(q.Versions)-1,
 		})
@@ -83,7 +83,9 @@
 	return Rating{Available: p.Budget.Available(now), Fill: p.Budget.Fill(now), Duration: p.rating.high()}
 }
 
-func (p *Planner) expectedDuration(ref settings.VersionRef) time.Duration {
+// ExpectedDuration is how long a version takes for a whole answer, or nearly
+// at the most; zero for unknown.
+func (p *Planner) ExpectedDuration(ref settings.VersionRef) time.Duration {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if d, ok := p.durations[ref]; ok {
--- a/internal/entry/adapters.go
+++ b/internal/entry/adapters.go
@@ -53,16 +53,6 @@
 	s.Crashed(server.ID, instance)
 }
 
-type openAdmission struct{}
-
-type openGrant struct{}
-
-func (openAdmission) Acquire(context.Context, gateway.Ticket) (gateway.Grant, error) {
-	return openGrant{}, nil
-}
-func (openGrant) Priority() int { return 0 }
-func (openGrant) Release(int64) {}
-
 type serverReports struct{}
 
 func (serverReports) Report(*backend.Error) {}
--- a/internal/entry/build.go
+++ b/internal/entry/build.go
@@ -13,6 +13,7 @@
 	"github.com/basilrail/basilrail/internal/claim"
 	"github.com/basilrail/basilrail/internal/configsync"
 	"github.com/basilrail/basilrail/internal/datastore"
+	"github.com/basilrail/basilrail/internal/flowcontrol"
 	"github.com/basilrail/basilrail/internal/gateway"
 	"github.com/basilrail/basilrail/internal/membership"
 	"github.com/basilrail/basilrail/internal/peers"
@@ -49,7 +50,7 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "load the state charts")
 	}
-	i := &Instance{opts: o, cfg: o.Config, log: o.Log, charts: charts}
+	i := &Instance{opts: o, cfg: o.Config, log: o.Log, charts: charts, aborted: make(chan struct{})}
 	i.seeds = seedFor(o.Seed, o.Config.Instance.Value)
 	bus := membus.New().Join(i.cfg.Instance.Value, i.cfg.FailureDomain.Value)
 	i.buildState(bus)
@@ -62,12 +63,14 @@
 
 // transport makes an HTTP transport over the instance's network.
 func (i *Instance) transport() *http.Transport {
-	return &http.Transport{
+	transport := &http.Transport{
 		DialContext:         i.opts.Dial,
 		MaxIdleConnsPerHost: idleConnsPerServer,
 		IdleConnTimeout:     idleConnTimeout,
 		DisableCompression:  true,
 	}
+	i.transports = append(i.transports, transport)
+	return transport
 }
 
 // buildState makes what reads and writes the platform.
@@ -120,12 +123,11 @@
 		Rand:     i.newRand(),
 		Logger:   i.log,
 	})
-	i.planner = cascade.NewPlanner(cascade.NewLearner(), cascade.NewBudget(fleetRatingsPerSecond))
+	i.admit = flowcontrol.New()
+	i.windows = newWindows(bus, i.data, i.admit)
+	i.planner = cascade.NewPlanner(cascade.NewLearner(), cascade.NewBudget(float64(i.cfg.RatingRate.Value)))
 }
 
-// fleetRatingsPerSecond is what the rating service takes from the whole fleet.
-const fleetRatingsPerSecond = 50.0
-
 func (i *Instance) buildGateway() error {
 	secret := sha256.Sum256(i.cfg.TokenSecret.Value)
 	keyring, err := session.NewKeyring(secret[:], i.cfg.SessionLifetime.Value)
@@ -141,7 +143,7 @@
 		Tokens:        keyring,
 		Versions:      i.rollouts,
 		Planner:       i.planner,
-		Admission:     openAdmission{},
+		Admission:     i.admit,
 		Suspects:      suspectTracker{Quarantine: i.suspects},
 		Retries:       retry.New(i.newRand()),
 		Servers:       serverReports{},
--- /dev/null
+++ b/internal/entry/fleet_test.go
@@ -0,0 +1,272 @@
+package entry
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/stretchr/testify/require"
+	"go.opentelemetry.io/otel/trace/noop"
+
+	"github.com/basilrail/basilrail/internal/apierror"
+	"github.com/basilrail/basilrail/internal/events"
+	"github.com/basilrail/basilrail/internal/pipenet"
+	"github.com/basilrail/basilrail/internal/settings"
+	"github.com/basilrail/basilrail/internal/standin/booking"
+	"github.com/basilrail/basilrail/internal/standin/engine"
+	"github.com/basilrail/basilrail/internal/standin/platformserver"
+	"github.com/basilrail/basilrail/internal/standin/rater"
+	"github.com/basilrail/basilrail/internal/staticconfig"
+)
+
+const (
+	platformAddress = "10.0.0.1:7000"
+	raterAddress    = "10.0.0.2:7100"
+	testSeed        = 42
+	// settleTime is long enough for settings, lists and reports to arrive everywhere.
+	settleTime = 8 * time.Second
+)
+
+var failureDomains = []string{"hall-ikeja", "hall-lekki", "hall-yaba", "hall-apapa"}
+
+// fleet is entry instances between callers and stand-ins, in virtual time.
+type fleet struct {
+	t        *testing.T
+	network  *pipenet.Network
+	platform *platformserver.Server
+	rater    *rater.Rater
+	engines  map[string]*engine.Engine
+	bookings map[string]*booking.Service
+	entries  []*member
+	client   *http.Client
+	servers  []*http.Server
+	log      *bytes.Buffer
+	logLock  sync.Mutex
+}
+
+// member is one running entry instance.
+type member struct {
+	*Instance
+	callers string
+	stop    context.CancelFunc
+	done    chan struct{}
+}
+
+// inFleet runs a test in a bubble with entry instances before the lagos-main
+// example, its settings in force.
+func inFleet(t *testing.T, size int, test func(f *fleet)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t)
+		f.startBackends(exampleDocs(t))
+		for range size {
+			f.addEntry()
+		}
+		f.apply(0, exampleDocs(t)...)
+		time.Sleep(settleTime)
+		test(f)
+		f.close()
+	})
+}
+
+func newFleet(t *testing.T) *fleet {
+	network := pipenet.New()
+	f := &fleet{
+		t:        t,
+		network:  network,
+		platform: platformserver.New(),
+		rater:    rater.New(rater.Config{PerSecond: 100}),
+		engines:  make(map[string]*engine.Engine),
+		bookings: make(map[string]*booking.Service),
+		client:   network.Client(),
+		log:      &bytes.Buffer{},
+	}
+	f.serve(platformAddress, f.platform.Handler())
+	f.serve(raterAddress, f.rater.Handler())
+	return f
+}
+
+func exampleDocs(t *testing.T) []settings.Document {
+	docs, faults := settings.Load(os.DirFS("../../examples/lagos-main"))
+	require.NoError(t, faults.Err())
+	return docs
+}
+
+func (f *fleet) serve(address string, handler http.Handler) {
+	listener, err := f.network.Listen(address)
+	require.NoError(f.t, err)
+	server := &http.Server{Handler: handler}
+	f.servers = append(f.servers, server)
+	go func() { _ = server.Serve(listener) }()
+}
+
+// startBackends starts a stand-in for each backend server of the settings.
+func (f *fleet) startBackends(docs []settings.Document) {
+	tree, faults := settings.Parse(docs)
+	require.NoError(f.t, faults.Err())
+	for id, server := range tree.Servers {
+		if server.Service != "" {
+			f.bookings[id] = booking.New(booking.Config{Instance: id, HonoursKeys: server.Traits.HonoursKeys})
+			f.serve(server.Address, f.bookings[id].Handler())
+			continue
+		}
+		var versions []string
+		for _, model := range server.Models {
+			for version := range tree.Models[model].Versions {
+				versions = append(versions, model+"@"+version)
+			}
+		}
+		f.engines[id] = engine.New(engine.Config{
+			Instance:       id,
+			Versions:       versions,
+			Capacity:       server.Capacity,
+			ChecksFencing:  server.Traits.ChecksFencing,
+			ResumesStreams: server.Traits.ResumesStreams,
+			Unacceptable:   map[string]float64{"tagger@v1": 0.3},
+		})
+		f.serve(server.Address, f.engines[id].Handler())
+	}
+}
+
+// addEntry starts one more entry instance.
+func (f *fleet) addEntry() *member {
+	n := len(f.entries) + 1
+	host := fmt.Sprintf("10.1.0.%d", n)
+	secret := strings.Repeat("s", staticconfig.MinSecretBytes)
+	cfg, err := staticconfig.Parse([]string{
+		fmt.Sprintf("--instance=entry-%d", n),
+		"--failure-domain=" + failureDomains[(n-1)%len(failureDomains)],
+		"--platform-url=http://" + platformAddress,
+		"--rating-url=http://" + raterAddress,
+		"--listen-callers=" + host + ":8080",
+		"--listen-operators=" + host + ":8081",
+		"--listen-peers=" + host + ":8082",
+		"--peer-secret=" + secret,
+		"--token-secret=" + secret,
+	})
+	require.NoError(f.t, err)
+	logger := logrus.New()
+	logger.SetOutput(f)
+	instance, err := New(Options{
+		Config: cfg,
+		Listen: func(address string) (net.Listener, error) { return f.network.Listen(address) },
+		Dial:   f.network.Dial,
+		Log:    events.NewLogger(logger),
+		Tracer: noop.NewTracerProvider().Tracer("test"),
+		Seed:   testSeed,
+	})
+	require.NoError(f.t, err)
+	ctx, stop := context.WithCancel(context.Background())
+	m := &member{Instance: instance, callers: host + ":8080", stop: stop, done: make(chan struct{})}
+	f.entries = append(f.entries, m)
+	go func() {
+		defer close(m.done)
+		_ = instance.Run(ctx)
+	}()
+	synctest.Wait()
+	return m
+}
+
+// Write takes the logs of all instances.
+func (f *fleet) Write(line []byte) (int, error) {
+	f.logLock.Lock()
+	defer f.logLock.Unlock()
+	return f.log.Write(line)
+}
+
+// kill ends an instance as the death of its process would.
+func (f *fleet) kill(n int) {
+	f.entries[n].abort()
+	<-f.entries[n].done
+}
+
+func (f *fleet) close() {
+	f.client.CloseIdleConnections()
+	for _, m := range f.entries {
+		m.stop()
+	}
+	for _, m := range f.entries {
+		<-m.done
+	}
+	for _, server := range f.servers {
+		_ = server.Close()
+	}
+	if f.t.Failed() {
+		f.t.Log(f.log.String())
+	}
+}
+
+// apply commits documents through an instance, made from their newest revisions.
+func (f *fleet) apply(n int, docs ...settings.Document) {
+	f.t.Helper()
+	current, _ := f.entries[n].syncer.Documents("/")
+	revisions := make(map[string]uint64)
+	for _, doc := range current {
+		revisions[doc.Path] = doc.Revision
+	}
+	change := settings.Change{ID: fmt.Sprintf("change-%d-%d", n, time.Now().UnixNano()), Author: "operations"}
+	for _, doc := range docs {
+		doc.Revision = revisions[doc.Path]
+		change.Documents = append(change.Documents, doc)
+	}
+	_, err := f.entries[n].syncer.Apply(context.Background(), change)
+	require.NoError(f.t, err)
+}
+
+// reply is what a caller got.
+type reply struct {
+	status int
+	header http.Header
+	body   []byte
+	// err is what broke the answer.
+	err error
+}
+
+// refusal reads the error body, or returns nil for an answer.
+func (r reply) refusal() *apierror.Error {
+	var body apierror.Body
+	if json.Unmarshal(r.body, &body) != nil {
+		return nil
+	}
+	return body.Error
+}
+
+// call sends a request to an instance; headers are name, value pairs.
+func (f *fleet) call(n int, key, method, path, body string, headers ...string) reply {
+	req, err := http.NewRequest(method, "http://"+f.entries[n].callers+path, strings.NewReader(body))
+	require.NoError(f.t, err)
+	req.Header.Set("Authorization", "Bearer "+key)
+	for i := 0; i < len(headers); i += 2 {
+		req.Header.Set(headers[i], headers[i+1])
+	}
+	resp, err := f.client.Do(req)
+	if err != nil {
+		return reply{err: err}
+	}
+	defer resp.Body.Close()
+	got, err := io.ReadAll(resp.Body)
+	return reply{status: resp.StatusCode, header: resp.Header, body: got, err: err}
+}
+
+// chat sends a chat completion.
+func (f *fleet) chat(n int, key, model, prompt string, headers ...string) reply {
+	body := fmt.Sprintf(`{"model":%q,"messages":[{"role":"user","content":%q}]}`, model, prompt)
+	return f.call(n, key, http.MethodPost, "/v1/chat/completions", body, headers...)
+}
+
+// streamChat sends a chat completion whose answer is streamed.
+func (f *fleet) streamChat(n int, key, model, prompt string, headers ...string) reply {
+	body := fmt.Sprintf(`{"model":%q,"stream":true,"messages":[{"role":"user","content":%q}]}`, model, prompt)
+	return f.call(n, key, http.MethodPost, "/v1/chat/completions", body, headers...)
+}
--- a/internal/entry/instance.go
+++ b/internal/entry/instance.go
@@ -20,6 +20,7 @@
 	"github.com/basilrail/basilrail/internal/configsync"
 	"github.com/basilrail/basilrail/internal/datastore"
 	"github.com/basilrail/basilrail/internal/events"
+	"github.com/basilrail/basilrail/internal/flowcontrol"
 	"github.com/basilrail/basilrail/internal/gateway"
 	"github.com/basilrail/basilrail/internal/membership"
 	"github.com/basilrail/basilrail/internal/platform/groupcommit"
@@ -61,12 +62,17 @@
 	suspects *quarantine.Quarantine
 	rollouts *rollout.Controller
 	planner  *cascade.Planner
+	admit    *flowcontrol.Controller
+	windows  *windows
 	backend  *backend.Client
 	gateway  *gateway.Gateway
 	life     *lifecycle
 
-	servers []*http.Server
-	loops   sync.WaitGroup
+	servers    []*http.Server
+	transports []*http.Transport
+	loops      sync.WaitGroup
+	// aborted is closed by abort.
+	aborted chan struct{}
 }
 
 // newRand makes a random source of its own for one component.
--- /dev/null
+++ b/internal/entry/promises_test.go
@@ -0,0 +1,363 @@
+package entry
+
+import (
+	"bytes"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/basilrail/basilrail/internal/apierror"
+	"github.com/basilrail/basilrail/internal/gateway"
+	"github.com/basilrail/basilrail/internal/settings"
+	"github.com/basilrail/basilrail/internal/standin/booking"
+	"github.com/basilrail/basilrail/internal/standin/engine"
+)
+
+const shopA = "demo-ikoyi-shop-a"
+
+// edit returns an example document with a text replaced.
+func (f *fleet) edit(path, old, new string) settings.Document {
+	f.t.Helper()
+	docs, _ := f.entries[0].syncer.Documents(path)
+	require.NotEmpty(f.t, docs, path)
+	body := strings.Replace(string(docs[0].Body), old, new, 1)
+	require.NotEqual(f.t, string(docs[0].Body), body, "nothing replaced in %s", path)
+	return settings.Document{Path: path, Body: []byte(body)}
+}
+
+// inFlight counts the attempts that an instance has sent and not finished,
+// including those that wait inside an engine.
+func (m *member) inFlight() int {
+	sum := 0
+	for _, server := range m.data.Snapshot().Servers {
+		requests, _ := server.InFlight()
+		sum += int(requests)
+	}
+	return sum
+}
+
+// received counts the attempts that engines began, by version and in all.
+func (f *fleet) received() map[string]int {
+	counts := make(map[string]int)
+	for _, e := range f.engines {
+		for _, a := range e.Received() {
+			counts[a.Model]++
+		}
+	}
+	return counts
+}
+
+// ran tells whether any backend server began the request.
+func (f *fleet) ran(requestID string) bool {
+	for _, e := range f.engines {
+		for _, a := range e.Received() {
+			if strings.HasPrefix(a.ID, requestID) {
+				return true
+			}
+		}
+	}
+	for _, b := range f.bookings {
+		for _, x := range b.Received() {
+			if strings.HasPrefix(x.AttemptID, requestID) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// setFaults sets the same faults on every engine.
+func (f *fleet) setFaults(faults engine.Faults) {
+	for _, e := range f.engines {
+		e.SetFaults(faults)
+	}
+}
+
+func TestWithdrawnVersionGetsNoNewWork(t *testing.T) {
+	inFleet(t, 3, func(f *fleet) {
+		first := f.chat(0, shopA, "writer", "oak wardrobe")
+		require.Equal(t, http.StatusOK, first.status, string(first.body))
+		require.Equal(t, "writer@v1", first.header.Get(gateway.HeaderVersion))
+		f.apply(1, f.edit("/models/writer", "output_cost: 360", "output_cost: 360\n    withdrawn: true"))
+		time.Sleep(settleTime)
+		before := f.received()["writer@v1"]
+		for n := range f.entries {
+			pinned := f.chat(n, shopA, "writer", "its colour?", gateway.HeaderSessionToken, first.header.Get(gateway.HeaderSessionToken))
+			require.NotNil(t, pinned.refusal(), string(pinned.body))
+			assert.Equal(t, apierror.CodeVersionWithdrawn, pinned.refusal().Code)
+			assert.Equal(t, apierror.NotRun, pinned.refusal().Ran)
+			exact := f.chat(n, shopA, "writer@v1", "another wardrobe")
+			assert.Equal(t, apierror.CodeVersionWithdrawn, exact.refusal().Code)
+			fresh := f.chat(n, shopA, "writer", "a chest")
+			assert.Equal(t, "writer@v2", fresh.header.Get(gateway.HeaderVersion), string(fresh.body))
+		}
+		assert.Equal(t, before, f.received()["writer@v1"], "attempts on the withdrawn version")
+	})
+}
+
+// A request that waits in the queue while its version is withdrawn must not be
+// sent when its turn comes.
+func TestQueuedRequestSeesTheWithdrawal(t *testing.T) {
+	inFleet(t, 1, func(f *fleet) {
+		f.setFaults(engine.Faults{SlowMillis: 500})
+		var replies sync.WaitGroup
+		results := make([]reply, 200)
+		for i := range results {
+			replies.Go(func() {
+				results[i] = f.chat(0, "demo-ikoyi-depot", "planner@v1", "plan the round of today", gateway.HeaderDeadline, "300000")
+			})
+		}
+		time.Sleep(time.Second)
+		f.apply(0, f.edit("/models/planner", "output_cost: 2700", "output_cost: 2700\n    withdrawn: true"))
+		sent := f.entries[0].inFlight()
+		require.Less(t, sent, 128, "some requests wait")
+		replies.Wait()
+		assert.Equal(t, sent, f.received()["planner@v1"], "attempts on the withdrawn version")
+		withdrawn := 0
+		for _, r := range results {
+			if refusal := r.refusal(); refusal != nil && refusal.Code == apierror.CodeVersionWithdrawn {
+				withdrawn++
+				assert.Equal(t, apierror.NotRun, refusal.Ran)
+			}
+		}
+		assert.Positive(t, withdrawn)
+	})
+}
+
+// Entry instances keep nothing: settings, sessions and claims outlive them all.
+func TestNothingIsLostWithTheInstances(t *testing.T) {
+	inFleet(t, 2, func(f *fleet) {
+		first := f.chat(0, shopA, "writer", "oak wardrobe")
+		booked := f.call(0, shopA, http.MethodPost, "/v1/services/booking/bookings", "{}", gateway.HeaderIdempotencyKey, "k1")
+		f.kill(0)
+		f.kill(1)
+		f.addEntry()
+		time.Sleep(settleTime)
+		next := f.chat(2, shopA, "writer", "its colour?", gateway.HeaderSessionToken, first.header.Get(gateway.HeaderSessionToken))
+		assert.Equal(t, first.header.Get(gateway.HeaderVersion), next.header.Get(gateway.HeaderVersion), string(next.body))
+		again := f.call(2, shopA, http.MethodPost, "/v1/services/booking/bookings", "{}", gateway.HeaderIdempotencyKey, "k1")
+		assert.Equal(t, booked.body, again.body)
+		assert.Equal(t, 1, f.executions())
+	})
+}
+
+func TestSessionTokenOfAnotherAccountIsRefused(t *testing.T) {
+	inFleet(t, 1, func(f *fleet) {
+		first := f.chat(0, shopA, "auto", "oak wardrobe")
+		token := first.header.Get(gateway.HeaderSessionToken)
+		tests := []struct {
+			desc  string
+			key   string
+			token string
+		}{
+			{desc: "other account", key: "demo-ikoyi-shop-b", token: token},
+			{desc: "forged", key: shopA, token: token[:len(token)-4] + "AAAA"},
+			{desc: "not a token", key: shopA, token: "x"},
+		}
+		for _, tt := range tests {
+			got := f.chat(0, tt.key, "auto", "its colour?", gateway.HeaderSessionToken, tt.token)
+			require.NotNil(t, got.refusal(), tt.desc)
+			assert.Equal(t, apierror.CodeSessionInvalid, got.refusal().Code, tt.desc)
+			assert.Equal(t, apierror.NotRun, got.refusal().Ran, tt.desc)
+		}
+		f.apply(0, f.edit("/fleet", "- id: key-1", "- id: key-2\n  - id: key-1"))
+		kept := f.chat(0, shopA, "auto", "its colour?", gateway.HeaderSessionToken, token)
+		assert.Equal(t, http.StatusOK, kept.status, "a key that still verifies")
+		f.apply(0, f.edit("/fleet", "\n  - id: key-1", ""))
+		gone := f.chat(0, shopA, "auto", "its colour?", gateway.HeaderSessionToken, token)
+		require.NotNil(t, gone.refusal())
+		assert.Equal(t, apierror.CodeSessionInvalid, gone.refusal().Code, "a rotated-out key")
+	})
+}
+
+func TestAnswersAreWholeOrSayThatTheyAreNot(t *testing.T) {
+	const prompt = "oak wardrobe with two doors"
+	tests := []struct {
+		desc   string
+		faults engine.Faults
+		model  string
+		// whole tells whether the answer must arrive whole.
+		whole bool
+	}{
+		{desc: "doubled chunks", faults: engine.Faults{DuplicateChunks: true}, model: "tagger@v1", whole: true},
+		{desc: "crossed answers", faults: engine.Faults{WrongAttemptID: true}, model: "tagger@v1"},
+		{desc: "cut, on servers that may resume or not", faults: engine.Faults{CutAfterChunks: 4}, model: "tagger@v1"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.desc, func(t *testing.T) {
+			inFleet(t, 1, func(f *fleet) {
+				good := f.streamChat(0, shopA, tt.model, prompt)
+				require.True(t, endsWhole(good), string(good.body))
+				f.setFaults(tt.faults)
+				for range 12 {
+					got := f.streamChat(0, shopA, tt.model, prompt)
+					if endsWhole(got) {
+						assert.Equal(t, textOfStream(good), textOfStream(got), "a whole answer is the right one")
+						continue
+					}
+					assert.False(t, tt.whole, string(got.body))
+					toldToBeBroken(t, got)
+				}
+			})
+		})
+	}
+}
+
+// endsWhole tells whether a stream ended with its terminal event.
+func endsWhole(r reply) bool {
+	return r.status == http.StatusOK && r.err == nil && bytes.HasSuffix(r.body, []byte("data: [DONE]\n\n"))
+}
+
+// toldToBeBroken checks that a caller can't take the answer for a whole one.
+func toldToBeBroken(t *testing.T, r reply) {
+	t.Helper()
+	assert.NotContains(t, string(r.body), "[DONE]")
+	if r.status == http.StatusOK {
+		assert.Contains(t, string(r.body), "event: error")
+		return
+	}
+	require.NotNil(t, r.refusal(), string(r.body))
+}
+
+// textOfStream joins the contents of a stream's chunks.
+func textOfStream(r reply) string {
+	var text strings.Builder
+	for _, line := range strings.Split(string(r.body), "\n") {
+		_, rest, ok := strings.Cut(line, `"content":"`)
+		if !ok {
+			continue
+		}
+		content, _, _ := strings.Cut(rest, `"`)
+		text.WriteString(content)
+	}
+	return text.String()
+}
+
+// A cut stream is continued where the server can do it.
+func TestCutStreamIsResumed(t *testing.T) {
+	inFleet(t, 1, func(f *fleet) {
+		for id, e := range f.engines {
+			if !f.entries[0].data.Snapshot().Servers[id].Settings.Traits.ResumesStreams {
+				e.SetFaults(engine.Faults{Leaving: true})
+				continue
+			}
+			e.SetFaults(engine.Faults{CutAfterChunks: 10})
+		}
+		time.Sleep(settleTime)
+		for range 10 {
+			got := f.streamChat(0, shopA, "tagger@v1", "oak wardrobe")
+			assert.True(t, endsWhole(got), string(got.body))
+		}
+	})
+}
+
+func TestNotRunIsTrue(t *testing.T) {
+	inFleet(t, 2, func(f *fleet) {
+		tests := []struct {
+			desc  string
+			setUp func()
+			call  func() reply
+		}{
+			{desc: "no key", call: func() reply { return f.chat(0, "nobody", "auto", "x") }},
+			{desc: "bad body", call: func() reply {
+				return f.call(0, shopA, http.MethodPost, "/v1/chat/completions", `{"messages":7}`)
+			}},
+			{desc: "version not allowed", call: func() reply { return f.chat(0, "demo-surulere-shop-e", "writer@v2", "x") }},
+			{desc: "unknown model", call: func() reply { return f.chat(0, shopA, "nothing", "x") }},
+			{desc: "booking without a key", call: func() reply {
+				return f.call(0, shopA, http.MethodPost, "/v1/services/booking/bookings", "{}")
+			}},
+			{desc: "unknown service", call: func() reply { return f.call(0, shopA, http.MethodGet, "/v1/services/none/x", "") }},
+			{desc: "engines leaving", setUp: func() { f.setFaults(engine.Faults{Leaving: true}) }, call: func() reply { return f.chat(0, shopA, "auto", "x") }},
+			{
+				desc: "booking servers leaving",
+				setUp: func() {
+					for _, b := range f.bookings {
+						b.SetFaults(booking.Faults{Leaving: true})
+					}
+				},
+				call: func() reply {
+					return f.call(0, shopA, http.MethodPost, "/v1/services/booking/bookings", "{}", gateway.HeaderIdempotencyKey, "k1")
+				},
+			},
+		}
+		for _, tt := range tests {
+			if tt.setUp != nil {
+				tt.setUp()
+			}
+			got := tt.call()
+			require.NotNil(t, got.refusal(), "%s: %s", tt.desc, got.body)
+			assert.Equal(t, apierror.NotRun, got.refusal().Ran, tt.desc)
+			assert.False(t, f.ran(got.header.Get(gateway.HeaderRequestID)), "%s: ran although refused as not run", tt.desc)
+		}
+		for _, b := range f.bookings {
+			b.SetFaults(booking.Faults{})
+		}
+		time.Sleep(settleTime)
+		again := f.call(1, shopA, http.MethodPost, "/v1/services/booking/bookings", "{}", gateway.HeaderIdempotencyKey, "k1")
+		assert.Equal(t, http.StatusCreated, again.status, "the key of a request that did not run may be used again: %s", again.body)
+	})
+}
+
+// The answer of a booking is lost: it may have run, and is never run again.
+func TestLostAnswerIsNeverRunAgain(t *testing.T) {
+	inFleet(t, 2, func(f *fleet) {
+		for _, b := range f.bookings {
+			b.SetFaults(booking.Faults{CrashAfterExecute: true})
+		}
+		first := f.call(0, shopA, http.MethodPost, "/v1/services/booking/bookings", "{}", gateway.HeaderIdempotencyKey, "k1")
+		require.NotNil(t, first.refusal(), string(first.body))
+		assert.Equal(t, apierror.MayHaveRun, first.refusal().Ran)
+		for _, b := range f.bookings {
+			b.SetFaults(booking.Faults{})
+		}
+		time.Sleep(settleTime)
+		again := f.call(1, shopA, http.MethodPost, "/v1/services/booking/bookings", "{}", gateway.HeaderIdempotencyKey, "k1")
+		require.NotNil(t, again.refusal(), string(again.body))
+		assert.Equal(t, apierror.MayHaveRun, again.refusal().Ran)
+		assert.Equal(t, 1, f.executions())
+	})
+}
+
+func TestGracefulShutdownCutsNothingOff(t *testing.T) {
+	inFleet(t, 2, func(f *fleet) {
+		f.setFaults(engine.Faults{SlowMillis: 1000})
+		var stream, whole reply
+		var calls sync.WaitGroup
+		calls.Go(func() { stream = f.streamChat(0, shopA, "tagger@v1", "a long list", gateway.HeaderDeadline, "300000") })
+		calls.Go(func() { whole = f.chat(0, shopA, "tagger@v1", "another list", gateway.HeaderDeadline, "300000") })
+		time.Sleep(2 * time.Second)
+		f.entries[0].stop()
+		time.Sleep(time.Second)
+		during := f.chat(0, shopA, "tagger@v1", "short", gateway.HeaderDeadline, "300000")
+		assert.Equal(t, http.StatusOK, during.status, "the balancer still sends requests for a while")
+		calls.Wait()
+		assert.True(t, endsWhole(stream), string(stream.body))
+		assert.Equal(t, http.StatusOK, whole.status, string(whole.body))
+		<-f.entries[0].done
+	})
+}
+
+func TestLeavingServerGetsNoNewWork(t *testing.T) {
+	inFleet(t, 2, func(f *fleet) {
+		var leaving *engine.Engine
+		for _, e := range f.engines {
+			if leaving == nil || len(e.Received()) > len(leaving.Received()) {
+				leaving = e
+			}
+		}
+		leaving.SetFaults(engine.Faults{Leaving: true})
+		time.Sleep(5 * time.Second)
+		before := len(leaving.Received())
+		for i := range 40 {
+			got := f.chat(i%2, shopA, "auto", "oak wardrobe")
+			require.Equal(t, http.StatusOK, got.status, string(got.body))
+		}
+		assert.Equal(t, before, len(leaving.Received()))
+	})
+}
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -9,6 +9,7 @@
 	"github.com/go-chi/chi/v5"
 	"github.com/pkg/errors"
 
+	"github.com/basilrail/basilrail/internal/admin"
 	"github.com/basilrail/basilrail/internal/events"
 	"github.com/basilrail/basilrail/internal/statechart"
 )
@@ -24,6 +25,7 @@
 // every request in flight, hands over its bills and returns.
 func (i *Instance) Run(ctx context.Context) error {
 	work, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer i.closeConnections()
 	defer i.loops.Wait()
 	defer stop()
 	if err := i.open(work); err != nil {
@@ -31,15 +33,34 @@
 	}
 	i.startLoops(work)
 	i.log.Log(events.ProcessStarted, events.Fields{})
-	<-ctx.Done()
-	i.leave(work)
+	select {
+	case <-ctx.Done():
+		i.leave(work)
+	case <-i.aborted:
+		i.closeServers()
+	}
 	return nil
 }
 
+// abort ends Run without a graceful shutdown, as the death of the process would.
+func (i *Instance) abort() { close(i.aborted) }
+
+// closeConnections closes the idle connections to the platform and the servers.
+func (i *Instance) closeConnections() {
+	for _, transport := range i.transports {
+		transport.CloseIdleConnections()
+	}
+}
+
 // open starts the listeners.
 func (i *Instance) open(ctx context.Context) error {
 	operators := chi.NewRouter()
 	i.mountHealth(operators)
+	operators.Mount("/", admin.New(admin.Options{
+		Settings:           i.syncer,
+		Log:                i.log,
+		BootstrapKeySHA256: i.cfg.BootstrapKeySHA256.Value,
+	}))
 	listeners := []struct {
 		address string
 		handler http.Handler
@@ -94,6 +115,7 @@
 	i.goLoop(ctx, i.suspects.Run)
 	i.goLoop(ctx, i.rollouts.Run)
 	i.goLoop(ctx, i.watchServers)
+	i.goLoop(ctx, i.windows.Run)
 	i.goLoop(ctx, func(ctx context.Context) { every(ctx, observeInterval, i.life.observe) })
 }
 
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -11,6 +11,7 @@
 	"github.com/basilrail/basilrail/internal/backend"
 	"github.com/basilrail/basilrail/internal/billing"
 	"github.com/basilrail/basilrail/internal/datastore"
+	"github.com/basilrail/basilrail/internal/flowcontrol"
 	"github.com/basilrail/basilrail/internal/quarantine"
 	"github.com/basilrail/basilrail/internal/scheduling"
 	"github.com/basilrail/basilrail/internal/settings"
@@ -57,7 +58,7 @@
 	server *datastore.Server
 	// instance is the server's process as last reported when the attempt began.
 	instance string
-	grant    Grant
+	grant    *flowcontrol.Grant
 	started  time.Time
 	record   *AttemptRecord
 }
@@ -115,31 +116,34 @@
 }
 
 // queue waits in the fair queue.
-func (w *work) queue(ctx context.Context) (Grant, *apierror.Error) {
+func (w *work) queue(ctx context.Context) (*flowcontrol.Grant, *apierror.Error) {
 	ctx, span := startSpan(ctx, w.r, spanQueue)
 	defer span.End()
-	weight := w.r.view.Account.Weight
-	if weight <= 0 {
-		weight = 1
-	}
-	grant, err := w.r.gateway.Admission.Acquire(ctx, Ticket{
+	grant, err := w.r.gateway.Admission.Acquire(ctx, flowcontrol.Ticket{
 		Account:  w.r.view.ID,
-		Weight:   weight,
-		Target:   w.target(),
-		Tokens:   w.tokens,
+		Weight:   w.r.view.Account.Weight,
+		Cost:     w.tokens,
 		Deadline: w.r.deadline,
+		Service:  w.r.gateway.Planner.ExpectedDuration(w.version),
+		Pool:     w.target(),
 	})
 	if err == nil {
 		return grant, nil
 	}
-	var given *AdmissionError
-	if errors.As(err, &given) && given.Deadline {
-		return nil, apierror.New(http.StatusServiceUnavailable, apierror.CodeDeadline, "the deadline can't be met").Retry(given.RetryAfter)
+	var refused *flowcontrol.RefusedError
+	if !errors.As(err, &refused) {
+		return nil, gaveUp(ctx)
 	}
-	if errors.As(err, &given) {
-		return nil, apierror.New(http.StatusTooManyRequests, apierror.CodeOverloaded, "the client account's queue is full").Retry(given.RetryAfter)
+	if refused.Reason == flowcontrol.QueueFull {
+		return nil, apierror.New(http.StatusTooManyRequests, apierror.CodeOverloaded, "%s", refused.Reason).Retry(refused.RetryAfter)
 	}
-	return nil, gaveUp(ctx)
+	return nil, apierror.New(http.StatusServiceUnavailable, apierror.CodeDeadline, "%s", refused.Reason).Retry(refused.RetryAfter)
+}
+
+// enginePriority turns an admission's priority around: engines start the
+// higher number first.
+func enginePriority(grant *flowcontrol.Grant) int {
+	return int(flowcontrol.PriorityLow - grant.Priority)
 }
 
 // gaveUp is the refusal for work that its context ended.
--- a/internal/gateway/chat.go
+++ b/internal/gateway/chat.go
@@ -33,8 +33,9 @@
 	session session.Session
 	// fresh is set when the session began with this request.
 	fresh bool
-	token string
 	plan  []cascade.Step
+	// target is the fraction of answers that must be acceptable.
+	target float64
 }
 
 // chat serves POST /v1/chat/completions.
@@ -117,13 +118,14 @@
 		return apierror.New(http.StatusForbidden, apierror.CodeVersionForbidden, "no version of %q may be used by this client account", c.req.model)
 	}
 	input, output := c.req.estimate()
+	c.target = c.qualityTarget(tasks)
 	plan := c.gateway.Planner.Plan(time.Now(), snap, cascade.Query{
 		Account:      c.view.ID,
 		Task:         c.task,
 		Versions:     candidates,
 		InputTokens:  input,
 		OutputTokens: output,
-		Target:       c.qualityTarget(tasks),
+		Target:       c.target,
 		Remaining:    time.Until(c.deadline),
 	}, c.gateway.random())
 	c.plan = plan.Steps
@@ -178,7 +180,7 @@
 	if !exact {
 		var ok bool
 		if ref, ok = c.versionOf(c.req.model); !ok {
-			return ref, apierror.New(http.StatusForbidden, apierror.CodeVersionForbidden, "the client account may not use model %q", c.req.model)
+			return ref, c.noVersion()
 		}
 	}
 	if pin, ok := c.session.Pins[ref.Model]; ok && pin != ref.Version {
@@ -187,6 +189,16 @@
 	return ref, (&work{r: c.request, version: ref}).permit()
 }
 
+// noVersion is the refusal where no version of the model that the caller asked
+// for may take a new session.
+func (c *chat) noVersion() *apierror.Error {
+	if _, ok := c.view.Team.Models[c.req.model]; !ok {
+		return apierror.New(http.StatusForbidden, apierror.CodeVersionForbidden, "the client account may not use model %q", c.req.model)
+	}
+	return apierror.New(http.StatusServiceUnavailable, apierror.CodeVersionWithdrawn,
+		"no version of model %q takes new sessions now", c.req.model).Retry(noServerRetry)
+}
+
 // checkPin refuses a session whose pinned version may no longer be used.
 func (c *chat) checkPin(ref settings.VersionRef) *apierror.Error {
 	if _, pinned := c.session.Pins[ref.Model]; !pinned {
@@ -299,7 +311,7 @@
 		AttemptID: p.id,
 		Server:    p.server,
 		Body:      body,
-		Priority:  p.grant.Priority(),
+		Priority:  enginePriority(p.grant),
 	})
 	var tokens int64
 	if err == nil {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -20,6 +20,7 @@
 	"github.com/basilrail/basilrail/internal/claim"
 	"github.com/basilrail/basilrail/internal/datastore"
 	"github.com/basilrail/basilrail/internal/events"
+	"github.com/basilrail/basilrail/internal/flowcontrol"
 	"github.com/basilrail/basilrail/internal/retry"
 	"github.com/basilrail/basilrail/internal/rollout"
 	"github.com/basilrail/basilrail/internal/session"
@@ -83,7 +84,7 @@
 	Tokens     Tokens
 	Versions   Versions
 	Planner    *cascade.Planner
-	Admission  Admission
+	Admission  *flowcontrol.Controller
 	Suspects   Suspects
 	Retries    *retry.Retrier
 	Servers    ServerReports
--- a/internal/gateway/judge.go
+++ b/internal/gateway/judge.go
@@ -19,7 +19,7 @@
 // acceptable rates an answer. Without a rating the answer is not acceptable: a
 // dearer version is asked where the quality is not known.
 func (c *chat) acceptable(ctx context.Context, step cascade.Step, a *answer) bool {
-	score, err := c.rate(ctx, a.version, textOf(a.choices))
+	score, err := c.rate(ctx, a.version, textOf(a.choices), true)
 	if err != nil {
 		c.gateway.Log.Log(events.RatingUnavailable, events.Fields{RequestID: c.id, Version: a.version.String(), Err: err})
 		return false
@@ -28,8 +28,9 @@
 	return score >= AcceptableScore
 }
 
-// rate asks the rating service and learns from its answer.
-func (c *chat) rate(ctx context.Context, ref settings.VersionRef, text string) (float64, error) {
+// rate asks the rating service and learns from its answer. Judged tells that
+// the caller waits for the rating.
+func (c *chat) rate(ctx context.Context, ref settings.VersionRef, text string, judged bool) (float64, error) {
 	ctx, span := startSpan(ctx, c.request, spanRating)
 	defer span.End()
 	if !c.gateway.Planner.Budget.Take(time.Now()) {
@@ -42,8 +43,13 @@
 		return 0, err
 	}
 	acceptable := score >= AcceptableScore
-	key := cascade.Key{Account: c.view.ID, Task: c.task, Version: ref}
-	c.gateway.Planner.Rated(time.Now(), key, acceptable, time.Since(started))
+	c.gateway.Planner.Rated(time.Now(), cascade.Outcome{
+		Key:        cascade.Key{Account: c.view.ID, Task: c.task, Version: ref},
+		Target:     c.target,
+		Acceptable: acceptable,
+		Judged:     judged,
+		Took:       time.Since(started),
+	})
 	c.gateway.Versions.Observe(c.view.ID, ref, acceptable)
 	return score, nil
 }
@@ -60,7 +66,7 @@
 	c.gateway.inFlight.Go(func() {
 		ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), sampleTimeout)
 		defer cancel()
-		if _, err := c.rate(ctx, ref, text); err != nil {
+		if _, err := c.rate(ctx, ref, text, false); err != nil {
 			c.gateway.Log.Log(events.RatingUnavailable, events.Fields{RequestID: c.id, Version: ref.String(), Err: err})
 		}
 	})
--- a/internal/gateway/steps.go
+++ b/internal/gateway/steps.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"time"
 
 	"github.com/basilrail/basilrail/internal/backend"
 	"github.com/basilrail/basilrail/internal/datastore"
@@ -10,46 +9,6 @@
 	"github.com/basilrail/basilrail/internal/settings"
 )
 
-// Ticket asks for admission of one attempt.
-type Ticket struct {
-	Account settings.AccountID
-	Weight  float64
-	// Target is "model@version" or the service's name.
-	Target string
-	// Tokens is the estimated cost.
-	Tokens   int64
-	Deadline time.Time
-}
-
-// Grant is an admitted attempt; Release must be called once.
-type Grant interface {
-	// Priority is the engine's priority, higher is sooner.
-	Priority() int
-	// Release returns the room with the tokens really used.
-	Release(tokens int64)
-}
-
-// Admission shares backend servers among client accounts.
-type Admission interface {
-	// Acquire waits for the ticket's turn. An error is an *AdmissionError.
-	Acquire(ctx context.Context, t Ticket) (Grant, error)
-}
-
-// AdmissionError tells that an attempt was given up before it was sent.
-type AdmissionError struct {
-	// Deadline is set when the deadline can't be met, and not for a full queue.
-	Deadline   bool
-	RetryAfter time.Duration
-}
-
-// Error says why the attempt was given up.
-func (e *AdmissionError) Error() string {
-	if e.Deadline {
-		return "the deadline can't be met"
-	}
-	return "the queue is full"
-}
-
 // Suspects keeps content that crashes backend servers from running again.
 type Suspects interface {
 	Check(fp quarantine.Fingerprint) quarantine.Verdict
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -133,7 +133,7 @@
 		AttemptID: p.id,
 		Server:    p.server,
 		Body:      l.body,
-		Priority:  p.grant.Priority(),
+		Priority:  enginePriority(p.grant),
 		Resume:    l.resume,
 	})
 	if err != nil {
--- a/internal/rollout/choose.go
+++ b/internal/rollout/choose.go
@@ -9,6 +9,9 @@
 package rollout
 
 import (
+	"maps"
+	"slices"
+
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/basilrail/basilrail/internal/settings"
@@ -40,7 +43,7 @@
 			return choice, true
 		}
 	}
-	return fallback(s, view, account, model)
+	return fallback(s, view, account, model, canary)
 }
 
 // activeRollout finds the roll-out that decides for a model: the one under way,
@@ -114,7 +117,7 @@
 }
 
 // fallback is the stable version, or the first other one that may be used.
-func fallback(s *settings.Snapshot, view *View, account *settings.AccountView, model string) (Choice, bool) {
+func fallback(s *settings.Snapshot, view *View, account *settings.AccountView, model string, canary bool) (Choice, bool) {
 	use := account.Team.Models[model]
 	stable := settings.VersionRef{Model: model, Version: use.Stable}
 	if usable(s, view, account, stable) {
@@ -126,6 +129,22 @@
 			return Choice{Ref: ref}, true
 		}
 	}
+	if canary {
+		return lastResort(s, view, account, model)
+	}
+	return Choice{}, false
+}
+
+// lastResort is a version under test where no other is left. It is a canary:
+// the caller admits only as many sessions as its evidence allows.
+func lastResort(s *settings.Snapshot, view *View, account *settings.AccountView, model string) (Choice, bool) {
+	for _, name := range slices.Sorted(maps.Keys(s.Tree.Rollouts[account.TeamName])) {
+		r := s.Tree.Rollouts[account.TeamName][name]
+		to := settings.VersionRef{Model: model, Version: r.To}
+		if r.Model == model && r.Status == settings.RolloutRunning && usable(s, view, account, to) {
+			return Choice{Ref: to, Rollout: name, Canary: true}, true
+		}
+	}
 	return Choice{}, false
 }
 
--- a/internal/standin/command/command.go
+++ b/internal/standin/command/command.go
@@ -24,9 +24,11 @@
 
 // CLI is the command line: a role per subcommand.
 type CLI struct {
-	Engine  EngineCmd  `cmd:"" help:"Run a model engine."`
-	Rater   RaterCmd   `cmd:"" help:"Run the service that rates answers."`
-	Booking BookingCmd `cmd:"" help:"Run a booking service whose calls must not be repeated."`
+	Platform PlatformCmd `cmd:"" help:"Run the platform: table service and membership list."`
+	Servers  ServersCmd  `cmd:"" help:"Run a stand-in for each backend server of a settings directory."`
+	Engine   EngineCmd   `cmd:"" help:"Run a model engine."`
+	Rater    RaterCmd    `cmd:"" help:"Run the service that rates answers."`
+	Booking  BookingCmd  `cmd:"" help:"Run a booking service whose calls must not be repeated."`
 }
 
 // Options are kong's options for the command line.
--- a/internal/staticconfig/config.go
+++ b/internal/staticconfig/config.go
@@ -27,6 +27,8 @@
 	PeerSecret  SecretText `help:"Secret shared by all entry instances, of at least 32 bytes; text. Prefer the variable: flags show in process lists." need:"true" group:"Secrets"`
 	TokenSecret SecretText `help:"Master secret of the session tokens, of at least 32 bytes; text. Prefer the variable: flags show in process lists." need:"true" group:"Secrets"`
 
+	BootstrapKeySHA256 KeySum `name:"bootstrap-key-sha256" help:"SHA-256 of a key that may apply the first settings, while there are none; 64 hexadecimal digits." group:"Secrets"`
+
 	CallersTLS   ServerTLS `embed:"" prefix:"callers-tls-" group:"TLS"`
 	OperatorsTLS ServerTLS `embed:"" prefix:"operators-tls-" group:"TLS"`
 	PeersTLS     MutualTLS `embed:"" prefix:"peers-tls-" group:"TLS"`
@@ -40,7 +42,7 @@
 	TraceSample    Fraction `help:"Part of the traces that is sent to the collector; a fraction from 0 to 1." default:"0.01" group:"Observing"`
 	ExplainRecords Count    `help:"Requests whose record is kept in memory for explain; a number." default:"4096" group:"Observing"`
 
-	RatingSample Fraction `help:"Part of the answers that is sent to the rating service; a fraction from 0 to 1." default:"0.05" group:"Requests"`
+	RatingRate Count `help:"Ratings a second that the rating service gives the whole fleet; a number." default:"50" group:"Requests"`
 
 	SessionLifetime Duration `help:"Time for which a session token is valid; a duration." default:"24h" group:"Requests"`
 
--- a/internal/staticconfig/staticconfig_test.go
+++ b/internal/staticconfig/staticconfig_test.go
@@ -52,7 +52,7 @@
 	t.Setenv("BASILRAIL_TOKEN_SECRET", "too-short-to-be-told")
 	_, err := Parse([]string{
 		"--instance=entry 1", "--listen-callers", "localhost", "--listen-peers=127.0.0.1:8081",
-		"--rating-sample=1.5", "--no-such", "value", "stray", "--callers-tls-cert=/none",
+		"--trace-sample=1.5", "--no-such", "value", "stray", "--callers-tls-cert=/none",
 		"--log-level=loud", "--drain-timeout=1s", "--check=perhaps",
 	})
 	var list findings.List
@@ -73,7 +73,7 @@
 		"--token-secret ($BASILRAIL_TOKEN_SECRET)",
 		"--callers-tls-cert ($BASILRAIL_CALLERS_TLS_CERT)",
 		"--log-level ($BASILRAIL_LOG_LEVEL)",
-		"--rating-sample ($BASILRAIL_RATING_SAMPLE)",
+		"--trace-sample ($BASILRAIL_TRACE_SAMPLE)",
 		"--body-bytes ($BASILRAIL_BODY_BYTES)",
 		"--listen-peers ($BASILRAIL_LISTEN_PEERS)",
 		"--drain-timeout ($BASILRAIL_DRAIN_TIMEOUT)",
@@ -130,7 +130,7 @@
 }
 
 func TestEveryFlagNamesItsVariableAndUnit(t *testing.T) {
-	unit := regexp.MustCompile(`; (a switch|a name|ip:port|a URL|text|a path|a fraction from 0 to 1|a number|a duration|bytes)\.`)
+	unit := regexp.MustCompile(`; (a switch|a name|ip:port|a URL|text|a path|a fraction from 0 to 1|a number|a duration|bytes|64 hexadecimal digits)\.`)
 	var help strings.Builder
 	exited := func(int) { panic("exit") }
 	assert.PanicsWithValue(t, "exit", func() {
--- a/internal/staticconfig/value.go
+++ b/internal/staticconfig/value.go
@@ -1,10 +1,13 @@
 package staticconfig
 
 import (
+	"crypto/sha256"
+	"encoding/hex"
 	"net/netip"
 	"net/url"
 	"os"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/alecthomas/kong"
@@ -55,6 +58,8 @@
 	Fraction = Setting[float64, fractionParser]
 	// SecretText is a secret of at least MinSecretBytes.
 	SecretText = Setting[Secret, secretParser]
+	// KeySum is a SHA-256 sum in lower-case hexadecimal.
+	KeySum = Setting[string, keySumParser]
 	// File is the path of a readable file.
 	File = Setting[string, fileParser]
 	// Level is a log level.
@@ -110,6 +115,7 @@
 	bytesParser    struct{}
 	fractionParser struct{}
 	secretParser   struct{}
+	keySumParser   struct{}
 	fileParser     struct{}
 	levelParser    struct{}
 	formatParser   struct{}
@@ -190,6 +196,14 @@
 	return Secret(text), nil
 }
 
+func (keySumParser) parse(text string) (string, error) {
+	sum, err := hex.DecodeString(text)
+	if err != nil || len(sum) != sha256.Size {
+		return "", errors.New("must be 64 hexadecimal digits")
+	}
+	return strings.ToLower(text), nil
+}
+
 func (fileParser) parse(text string) (string, error) {
 	file, err := os.Open(text)
 	if err != nil {
