--- a/internal/entry/build.go
+++ b/internal/entry/build.go
@@ -53,7 +53,9 @@
 	i := &Instance{opts: o, cfg: o.Config, log: o.Log, charts: charts, aborted: make(chan struct{})}
 	i.seeds = seedFor(o.Seed, o.Config.Instance.Value)
 	bus := membus.New().Join(i.cfg.Instance.Value, i.cfg.FailureDomain.Value)
-	i.buildState(bus)
+	if err := i.buildState(bus); err != nil {
+		return nil, err
+	}
 	i.buildDecisions(bus)
 	if err := i.buildGateway(); err != nil {
 		return nil, err
@@ -74,9 +76,12 @@
 }
 
 // buildState makes what reads and writes the platform.
-func (i *Instance) buildState(bus peers.Bus) {
-	client := &http.Client{Transport: i.transport()}
-	i.platform = httpplatform.New(client, i.cfg.PlatformURL.Value.String(), 0)
+func (i *Instance) buildState(bus peers.Bus) error {
+	transport, err := i.clientTransport(i.cfg.PlatformTLS)
+	if err != nil {
+		return errors.Wrap(err, "certificates for the platform")
+	}
+	i.platform = httpplatform.New(&http.Client{Transport: transport}, i.cfg.PlatformURL.Value.String(), 0)
 	i.members = membership.New(i.platform, platform.Member{
 		ID:            i.cfg.Instance.Value,
 		Kind:          platform.MemberEntry,
@@ -100,6 +105,7 @@
 		Reads:         i.platform,
 		Log:           i.log,
 	})
+	return nil
 }
 
 // commitBudget is this instance's share of the fleet's commits.
@@ -135,7 +141,11 @@
 		return errors.Wrap(err, "session tokens")
 	}
 	i.life = newLifecycle(i.charts, i.syncer, i.log)
-	i.backend = backend.NewClient(i.transport(), "http", maxAnswerBytes)
+	transport, err := i.clientTransport(i.cfg.ServersTLS)
+	if err != nil {
+		return errors.Wrap(err, "certificates for the backend servers")
+	}
+	i.backend = backend.NewClient(transport, i.serverScheme(), maxAnswerBytes)
 	i.gateway = gateway.New(gateway.Options{
 		Data:          i.data,
 		Backend:       i.backend,
@@ -156,11 +166,22 @@
 		Tracer:        i.opts.Tracer,
 		Rand:          i.newRand(),
 		StreamTime:    i.cfg.StreamTime.Value,
+		WriteTimeout:  i.cfg.WriteTimeout.Value,
+		Connections:   i.cfg.ConnectionsPerAccount.Value,
+		BodyBytes:     i.cfg.BodyBytes.Value,
 		FailureDomain: i.cfg.FailureDomain.Value,
 	})
 	return nil
 }
 
+// serverScheme is https where certificates for the backend servers are given.
+func (i *Instance) serverScheme() string {
+	if i.cfg.ServersTLS.CA.Value == "" {
+		return "http"
+	}
+	return "https"
+}
+
 func (i *Instance) ratingURL() string {
 	if i.cfg.RatingURL.Value == nil {
 		return ""
--- a/internal/entry/promises_test.go
+++ b/internal/entry/promises_test.go
@@ -361,3 +361,12 @@
 		assert.Equal(t, before, len(leaving.Received()))
 	})
 }
+
+// A stream may take longer than a caller has to send its request.
+func TestLongStreamIsNotCutOff(t *testing.T) {
+	inFleet(t, 1, func(f *fleet) {
+		f.setFaults(engine.Faults{SlowMillis: 5000})
+		got := f.streamChat(0, shopA, "tagger@v1", "a long list")
+		assert.True(t, endsWhole(got), "%v: %s", got.err, got.body)
+	})
+}
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -6,12 +6,12 @@
 	"net/http"
 	"time"
 
-	"github.com/go-chi/chi/v5"
-	"github.com/pkg/errors"
-
 	"github.com/basilrail/basilrail/internal/admin"
 	"github.com/basilrail/basilrail/internal/events"
 	"github.com/basilrail/basilrail/internal/statechart"
+	"github.com/basilrail/basilrail/internal/staticconfig"
+	"github.com/basilrail/basilrail/internal/tlsreload"
+	"github.com/go-chi/chi/v5"
 )
 
 const (
@@ -63,13 +63,14 @@
 	}))
 	listeners := []struct {
 		address string
+		files   tlsreload.Files
 		handler http.Handler
 	}{
-		{i.cfg.ListenOperators.Value.String(), operators},
-		{i.cfg.ListenCallers.Value.String(), i.gateway.Handler()},
+		{i.cfg.ListenOperators.Value.String(), serverFiles(i.cfg.OperatorsTLS), operators},
+		{i.cfg.ListenCallers.Value.String(), serverFiles(i.cfg.CallersTLS), i.gateway.Handler()},
 	}
 	for _, l := range listeners {
-		if err := i.serve(ctx, l.address, l.handler); err != nil {
+		if err := i.serve(ctx, l.address, l.files, l.handler); err != nil {
 			i.closeServers()
 			return err
 		}
@@ -77,10 +78,14 @@
 	return nil
 }
 
-func (i *Instance) serve(ctx context.Context, address string, handler http.Handler) error {
-	listener, err := i.opts.Listen(address)
+func serverFiles(c staticconfig.ServerTLS) tlsreload.Files {
+	return tlsreload.Files{Cert: c.Cert.Value, Key: c.Key.Value}
+}
+
+func (i *Instance) serve(ctx context.Context, address string, files tlsreload.Files, handler http.Handler) error {
+	listener, err := i.listen(address, files)
 	if err != nil {
-		return errors.Wrapf(err, "listen on %s", address)
+		return err
 	}
 	server := &http.Server{
 		Handler:           handler,
--- /dev/null
+++ b/internal/entry/tls.go
@@ -0,0 +1,54 @@
+package entry
+
+import (
+	"crypto/tls"
+	"net"
+	"net/http"
+
+	"github.com/pkg/errors"
+
+	"github.com/basilrail/basilrail/internal/events"
+	"github.com/basilrail/basilrail/internal/staticconfig"
+	"github.com/basilrail/basilrail/internal/tlsreload"
+)
+
+// reloader reads certificates and tells of each later reading; nil without files.
+func (i *Instance) reloader(files tlsreload.Files) (*tlsreload.Reloader, error) {
+	if files == (tlsreload.Files{}) {
+		return nil, nil
+	}
+	return tlsreload.New(files, 0, func(err error) {
+		if err != nil {
+			i.log.Log(events.CertificateNotReloaded, events.Fields{Path: files.Cert, Err: err})
+			return
+		}
+		i.log.Log(events.CertificateReloaded, events.Fields{Path: files.Cert})
+	})
+}
+
+// clientTransport makes a transport that verifies servers by the given files.
+func (i *Instance) clientTransport(c staticconfig.ClientTLS) (*http.Transport, error) {
+	transport := i.transport()
+	reloader, err := i.reloader(tlsreload.Files{Cert: c.Cert.Value, Key: c.Key.Value, CA: c.CA.Value})
+	if err != nil || reloader == nil {
+		return transport, err
+	}
+	transport.DialTLSContext = reloader.Dialer(i.opts.Dial)
+	return transport, nil
+}
+
+// listen opens a listener, with TLS if there is a certificate for it.
+func (i *Instance) listen(address string, files tlsreload.Files) (net.Listener, error) {
+	reloader, err := i.reloader(files)
+	if err != nil {
+		return nil, err
+	}
+	listener, err := i.opts.Listen(address)
+	if err != nil {
+		return nil, errors.Wrapf(err, "listen on %s", address)
+	}
+	if reloader == nil {
+		return listener, nil
+	}
+	return tls.NewListener(listener, reloader.ServerConfig()), nil
+}
--- a/internal/events/process.go
+++ b/internal/events/process.go
@@ -26,4 +26,13 @@
 		Message: "requests were still in flight when the drain time was over",
 		Action:  "Raise the drain time above the longest stream.",
 	})
+	CertificateReloaded = register(Event{
+		Number: 7006, Name: "certificate_reloaded", Level: logrus.InfoLevel,
+		Message: "a renewed certificate is in use",
+	})
+	CertificateNotReloaded = register(Event{
+		Number: 7007, Name: "certificate_not_reloaded", Level: logrus.ErrorLevel,
+		Message: "a renewed certificate can't be read; the earlier one stays in use",
+		Action:  "Mend the file that the error names before the certificate in use expires.",
+	})
 )
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -33,8 +33,6 @@
 	defaultDeadline = 60 * time.Second
 	// maxDeadline bounds what a caller may ask for.
 	maxDeadline = 10 * time.Minute
-	// DefaultStreamTime bounds a streamed answer.
-	DefaultStreamTime = 10 * time.Minute
 )
 
 // Readiness tells whether this instance may take new work.
@@ -78,25 +76,32 @@
 
 // Options is what a Gateway needs.
 type Options struct {
-	Data       *datastore.Store
-	Backend    *backend.Client
-	Ready      Readiness
-	Tokens     Tokens
-	Versions   Versions
-	Planner    *cascade.Planner
-	Admission  *flowcontrol.Controller
-	Suspects   Suspects
-	Retries    *retry.Retrier
-	Servers    ServerReports
-	Claims     Claims
-	Bills      Bills
-	Rater      Rater
-	Charts     *statechart.Set
-	Records    RecordSink
-	Log        *events.Logger
-	Tracer     trace.Tracer
-	Rand       *rand.Rand
+	Data      *datastore.Store
+	Backend   *backend.Client
+	Ready     Readiness
+	Tokens    Tokens
+	Versions  Versions
+	Planner   *cascade.Planner
+	Admission *flowcontrol.Controller
+	Suspects  Suspects
+	Retries   *retry.Retrier
+	Servers   ServerReports
+	Claims    Claims
+	Bills     Bills
+	Rater     Rater
+	Charts    *statechart.Set
+	Records   RecordSink
+	Log       *events.Logger
+	Tracer    trace.Tracer
+	Rand      *rand.Rand
+	// StreamTime bounds a streamed answer.
 	StreamTime time.Duration
+	// WriteTimeout is the time a caller has to take each piece of an answer;
+	// zero for no limit.
+	WriteTimeout time.Duration
+	// Connections and BodyBytes hold for client accounts without limits of their own.
+	Connections int
+	BodyBytes   int64
 	// FailureDomain is this instance's own.
 	FailureDomain string
 }
@@ -111,9 +116,6 @@
 
 // New makes a gateway.
 func New(o Options) *Gateway {
-	if o.StreamTime <= 0 {
-		o.StreamTime = DefaultStreamTime
-	}
 	return &Gateway{Options: o, limits: newLimitTable()}
 }
 
--- a/internal/gateway/limits.go
+++ b/internal/gateway/limits.go
@@ -11,10 +11,6 @@
 )
 
 const (
-	// DefaultConnections bounds a client account's requests in flight at one entry instance.
-	DefaultConnections = 256
-	// DefaultBodyBytes bounds a request's body.
-	DefaultBodyBytes = 4 << 20
 	// tooManyConnectionsRetry is when to come back after too many requests in flight.
 	tooManyConnectionsRetry = time.Second
 	// rateBurst is how many seconds' worth of requests may come at once.
@@ -39,11 +35,11 @@
 }
 
 // enter counts a request in; leave must be called if and only if err is nil.
-func (t *limitTable) enter(view *settings.AccountView) (leave func(), err *apierror.Error) {
+func (t *limitTable) enter(view *settings.AccountView, connections int) (leave func(), err *apierror.Error) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	use := t.of(view)
-	if use.inFlight >= connectionLimit(view.Account.Limits) {
+	if use.inFlight >= connections {
 		return nil, apierror.New(429, apierror.CodeRateLimited, "too many requests in flight for this client account").
 			Retry(tooManyConnectionsRetry)
 	}
@@ -85,16 +81,18 @@
 	return nil
 }
 
-func connectionLimit(l settings.Limits) int {
+// connectionLimit is the account's own limit, or this instance's.
+func (g *Gateway) connectionLimit(l settings.Limits) int {
 	if l.Connections > 0 {
 		return l.Connections
 	}
-	return DefaultConnections
+	return g.Connections
 }
 
-func bodyLimit(l settings.Limits) int64 {
+// bodyLimit is the account's own limit, or this instance's.
+func (g *Gateway) bodyLimit(l settings.Limits) int64 {
 	if l.BodyBytes > 0 {
 		return l.BodyBytes
 	}
-	return DefaultBodyBytes
+	return g.BodyBytes
 }
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -50,7 +50,7 @@
 			gateway: g,
 			id:      uuid.NewString(),
 			http:    hr,
-			w:       w,
+			w:       newPatientWriter(w, g.WriteTimeout),
 			life:    statechart.NewMachine(g.Charts.Request),
 			ran:     apierror.NotRun,
 		}
@@ -71,7 +71,7 @@
 	if refusal := r.identify(g.Data.Snapshot()); refusal != nil {
 		return refusal
 	}
-	leave, refusal := g.limits.enter(r.view)
+	leave, refusal := g.limits.enter(r.view, g.connectionLimit(r.view.Account.Limits))
 	if refusal != nil {
 		return refusal
 	}
@@ -102,7 +102,7 @@
 
 // read takes the body and the headers that all requests share.
 func (r *request) read() *apierror.Error {
-	body, err := io.ReadAll(http.MaxBytesReader(r.w, r.http.Body, bodyLimit(r.view.Account.Limits)))
+	body, err := io.ReadAll(http.MaxBytesReader(r.w, r.http.Body, r.gateway.bodyLimit(r.view.Account.Limits)))
 	if err != nil {
 		return bodyRefusal(err)
 	}
