--- a/internal/configsync/apply.go
+++ b/internal/configsync/apply.go
@@ -103,7 +103,7 @@
 
 // Check finds what is wrong with the tree as the documents would leave it.
 func (s *Syncer) Check(docs []settings.Document) findings.List {
-	_, list := newState(1, merge(s.state.Load().docs, docs))
+	_, list := newState(&s.parsed, 1, merge(s.state.Load().docs, docs))
 	return list
 }
 
@@ -263,7 +263,7 @@
 	if len(entry.Documents) == 0 {
 		return ApplyResult{ChangeID: a.change.ID, Revision: current.revision, Unchanged: true}, nil
 	}
-	next, list := newState(entry.Revision, merge(current.docs, entry.Documents))
+	next, list := newState(&a.syncer.parsed, entry.Revision, merge(current.docs, entry.Documents))
 	if list.Err() != nil {
 		return ApplyResult{}, list
 	}
--- a/internal/configsync/state.go
+++ b/internal/configsync/state.go
@@ -20,8 +20,8 @@
 }
 
 // newState checks and compiles documents.
-func newState(revision uint64, docs map[string]settings.Document) (*state, findings.List) {
-	tree, list := settings.Parse(sorted(docs))
+func newState(cache *settings.Cache, revision uint64, docs map[string]settings.Document) (*state, findings.List) {
+	tree, list := cache.Parse(sorted(docs))
 	if list.Err() != nil {
 		return nil, list
 	}
--- a/internal/configsync/syncer.go
+++ b/internal/configsync/syncer.go
@@ -33,6 +33,8 @@
 type Syncer struct {
 	opts  Options
 	state atomic.Pointer[state]
+	// parsed makes the work of a change proportional to what it changes.
+	parsed settings.Cache
 	// fresh is the latest instant at which the settings were surely current.
 	fresh atomic.Pointer[time.Time]
 	// loaded is whether a state came from the store or from a loaded peer.
@@ -157,7 +159,7 @@
 
 // installDocs compiles and installs documents.
 func (s *Syncer) installDocs(revision uint64, docs map[string]settings.Document, entries []logEntry) error {
-	compiled, list := newState(revision, docs)
+	compiled, list := newState(&s.parsed, revision, docs)
 	if err := list.Err(); err != nil {
 		s.markUnreadable(revision, err)
 		return errors.Wrapf(errUnreadable, "revision %d", revision)
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -38,10 +38,6 @@
 
 func sortedKeys[T any](m map[string]T) []string { return slices.Sorted(maps.Keys(m)) }
 
-// has reports whether a document stands at the path, even a faulty one, so that
-// one fault is not told again at every reference to it.
-func (p *parser) has(path string) bool { return p.nodes[path] != nil }
-
 func (p *parser) checkFleet() {
 	fleet := p.tree.Fleet
 	if !p.has(FleetPath) {
--- a/internal/settings/parse.go
+++ b/internal/settings/parse.go
@@ -1,19 +1,31 @@
 package settings
 
 import (
+	"bytes"
 	"reflect"
 	"strconv"
 	"strings"
+	"sync"
 
 	"go.yaml.in/yaml/v3"
 
 	"github.com/basilrail/basilrail/internal/findings"
 )
 
-// parser builds a Tree and keeps the nodes, so that checks can name lines.
+// parser builds a Tree from decoded documents and checks it.
 type parser struct {
 	tree     Tree
-	nodes    map[string]*yaml.Node
+	docs     map[string]*decoded
+	findings findings.List
+	// nodes are the YAML nodes of the documents that have findings.
+	nodes map[string]*yaml.Node
+}
+
+// decoded is one document's typed value. It never changes.
+type decoded struct {
+	body []byte
+	// value is nil if the text is no YAML mapping.
+	value    any
 	findings findings.List
 }
 
@@ -21,18 +33,35 @@
 // once; the tree may be used only if there are none. No documents at all make
 // an empty, valid tree.
 func Parse(docs []Document) (Tree, findings.List) {
-	p := newParser()
+	return new(Cache).Parse(docs)
+}
+
+// Cache parses successive sets of documents, and decodes only those whose text
+// changed since the last call. The zero value is ready to use. It is safe for
+// concurrent use.
+type Cache struct {
+	mu   sync.Mutex
+	docs map[string]*decoded
+}
+
+// Parse does what the function Parse does.
+func (c *Cache) Parse(docs []Document) (Tree, findings.List) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	p := newParser(len(docs))
 	for _, doc := range docs {
-		p.add(doc)
+		p.add(doc, c.docs[doc.Path])
 	}
+	c.docs = p.docs
 	if len(docs) > 0 {
 		p.check()
 	}
 	return p.tree, p.findings
 }
 
-func newParser() *parser {
+func newParser(size int) *parser {
 	return &parser{
+		docs:  make(map[string]*decoded, size),
 		nodes: make(map[string]*yaml.Node),
 		tree: Tree{
 			Models:   make(map[string]Model),
@@ -45,49 +74,66 @@
 	}
 }
 
-func (p *parser) add(doc Document) {
+// add puts a document into the tree; known is its form at the last call, or nil.
+func (p *parser) add(doc Document, known *decoded) {
 	at := locate(doc.Path)
 	if at.kind == kindUnknown {
 		p.findings.Add(doc.Path, "no document belongs at this path")
 		return
 	}
-	if _, twice := p.nodes[doc.Path]; twice {
+	if _, twice := p.docs[doc.Path]; twice {
 		p.findings.Add(doc.Path, "the document is given twice")
 		return
 	}
+	if known == nil || !bytes.Equal(known.body, doc.Body) {
+		known = decodeDocument(doc, at.kind)
+	}
+	p.docs[doc.Path] = known
+	p.findings = append(p.findings, known.findings...)
+	p.store(known.value, at)
+}
+
+// decodeDocument reads one document by itself.
+func decodeDocument(doc Document, kind documentKind) *decoded {
 	node, list := parseYAML(doc)
-	p.findings = append(p.findings, list...)
+	result := &decoded{body: doc.Body, findings: list}
 	if node == nil {
-		return
-	}
-	p.nodes[doc.Path] = node
-	p.store(doc.Path, node, at)
-}
-
-func (p *parser) store(path string, node *yaml.Node, at location) {
-	switch at.kind {
-	case kindFleet:
-		p.tree.Fleet = decodeAs[Fleet](p, path, node)
-	case kindModel:
-		p.tree.Models[at.name] = decodeAs[Model](p, path, node)
-	case kindService:
-		p.tree.Services[at.name] = decodeAs[Service](p, path, node)
-	case kindServer:
-		p.tree.Servers[at.name] = decodeAs[Server](p, path, node)
-	case kindTeam:
-		p.tree.Teams[at.name] = decodeAs[Team](p, path, node)
-	case kindAccount:
-		putInTeam(p.tree.Accounts, at, decodeAs[Account](p, path, node))
-	case kindRollout:
-		putInTeam(p.tree.Rollouts, at, decodeAs[Rollout](p, path, node))
+		return result
 	}
+	target := reflect.New(documentTypes[kind]).Elem()
+	d := decoder{path: doc.Path, findings: &result.findings}
+	d.decode(node, target, "", 0)
+	result.value = target.Interface()
+	return result
 }
 
-func decodeAs[T any](p *parser, path string, node *yaml.Node) T {
-	var value T
-	d := decoder{path: path, findings: &p.findings}
-	d.decode(node, reflect.ValueOf(&value).Elem(), "", 0)
-	return value
+var documentTypes = map[documentKind]reflect.Type{
+	kindFleet:   reflect.TypeFor[Fleet](),
+	kindModel:   reflect.TypeFor[Model](),
+	kindService: reflect.TypeFor[Service](),
+	kindServer:  reflect.TypeFor[Server](),
+	kindTeam:    reflect.TypeFor[Team](),
+	kindAccount: reflect.TypeFor[Account](),
+	kindRollout: reflect.TypeFor[Rollout](),
+}
+
+func (p *parser) store(value any, at location) {
+	switch v := value.(type) {
+	case Fleet:
+		p.tree.Fleet = v
+	case Model:
+		p.tree.Models[at.name] = v
+	case Service:
+		p.tree.Services[at.name] = v
+	case Server:
+		p.tree.Servers[at.name] = v
+	case Team:
+		p.tree.Teams[at.name] = v
+	case Account:
+		putInTeam(p.tree.Accounts, at, v)
+	case Rollout:
+		putInTeam(p.tree.Rollouts, at, v)
+	}
 }
 
 func putInTeam[T any](byTeam map[string]map[string]T, at location, value T) {
@@ -97,11 +143,31 @@
 	byTeam[at.team][at.name] = value
 }
 
+// has reports whether a document stands at the path, even a faulty one, so that
+// one fault is not told again at every reference to it.
+func (p *parser) has(path string) bool {
+	doc := p.docs[path]
+	return doc != nil && doc.value != nil
+}
+
+// node reads a document's YAML again, which only documents with findings need.
+func (p *parser) node(path string) *yaml.Node {
+	if node, ok := p.nodes[path]; ok {
+		return node
+	}
+	var node *yaml.Node
+	if doc := p.docs[path]; doc != nil {
+		node, _ = parseYAML(Document{Path: path, Body: doc.body})
+	}
+	p.nodes[path] = node
+	return node
+}
+
 // fault adds a finding at the line of a field. The keys lead to it through
 // mappings by name and through lists by index.
 func (p *parser) fault(path string, keys []string, format string, args ...any) {
 	line := 0
-	if node := p.nodes[path]; node != nil {
+	if node := p.node(path); node != nil {
 		line = lineOf(node, keys)
 	}
 	p.findings.AddAt(path, line, format, args...)
