Add the watcher of backend servers

Each instance asks its watched servers for their status, at most 8 a second, the longest due first; refused connections, refusals as leaving and failing attempts count at once. Leaving and down go to all instances by message. What restricts is believed from anybody; that a server may get work again is learned only from its own report. A refusal as leaving outweighs later reports of the same process for 30 s. ConfirmCrash tells the end of a process from a cut or a powered-off machine, so that only the former makes suspects of the requests in flight. pipenet refuses connections with the operating system's error.

--- a/internal/pipenet/pipenet.go
+++ b/internal/pipenet/pipenet.go
@@ -8,12 +8,14 @@
 	"net"
 	"net/http"
 	"sync"
+	"syscall"
 
 	"github.com/pkg/errors"
 )
 
-// ErrRefused is returned by a dial to an address where nothing listens.
-var ErrRefused = errors.New("connection refused")
+// ErrRefused is returned by a dial to an address where nothing listens: the
+// same error as the operating system's.
+var ErrRefused error = syscall.ECONNREFUSED
 
 // Network joins listeners by address. It is safe for concurrent use.
 type Network struct {
--- /dev/null
+++ b/internal/serverwatch/share.go
@@ -0,0 +1,64 @@
+package serverwatch
+
+import (
+	"context"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/pkg/errors"
+
+	"github.com/basilrail/basilrail/internal/peers"
+	"github.com/basilrail/basilrail/internal/statechart"
+)
+
+// stateMessage is the body of peers.KindServerState: one server seen leaving or down.
+type stateMessage struct {
+	Server   string           `cbor:"1,keyasint"`
+	Instance string           `cbor:"2,keyasint"`
+	State    statechart.State `cbor:"3,keyasint"`
+}
+
+// tell passes on what was seen of a server. The bus never blocks; the message
+// leaves on its own so that the lock is not held across the bus.
+func (w *Watcher) tell(id string, t *tracked, state statechart.State) {
+	msg := stateMessage{Server: id, Instance: t.status.Instance, State: state}
+	go w.bus.Broadcast(peers.KindServerState, msg)
+}
+
+func (w *Watcher) handleState(_ context.Context, msg peers.Message) (any, error) {
+	body, err := decodeState(msg.Body)
+	if err != nil {
+		return nil, err
+	}
+	w.with(body.Server, func(t *tracked) { w.adopt(body, t) })
+	return nil, nil
+}
+
+// adopt takes in what a peer saw of the same process. A server that is down for
+// a peer gets no new work until this instance's own probe, which follows soon
+// and spread over the instances.
+func (w *Watcher) adopt(msg stateMessage, t *tracked) {
+	if msg.Instance != t.status.Instance {
+		return
+	}
+	switch msg.State {
+	case statechart.ServerLeaving:
+		t.refusedAt, t.refusedInstance = time.Now(), t.status.Instance
+		w.fire(msg.Server, t, statechart.ServerReportLeaving)
+	case statechart.ServerDown:
+		t.due = time.Now().Add(time.Duration(w.rand.Int64N(int64(retryInterval))))
+		w.fire(msg.Server, t, statechart.ServerConnectionRefused)
+		w.signal()
+	}
+}
+
+func decodeState(body []byte) (stateMessage, error) {
+	var msg stateMessage
+	if err := cbor.Unmarshal(body, &msg); err != nil {
+		return msg, errors.Wrap(err, "decode server state")
+	}
+	if msg.Server == "" || len(msg.Instance) > maxInstanceBytes {
+		return msg, errors.New("malformed server state")
+	}
+	return msg, nil
+}
--- /dev/null
+++ b/internal/serverwatch/watcher.go
@@ -0,0 +1,200 @@
+// Package serverwatch keeps the state of the backend servers: it asks each
+// watched server for its status at a bounded rate, takes in what attempts, the
+// membership list and peers tell, and stores the outcome in the datastore.
+//
+// What says that a server must get no new work is believed from anybody; that
+// it may get work again is learned only from the server's own report.
+package serverwatch
+
+import (
+	"context"
+	"maps"
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"github.com/basilrail/basilrail/internal/datastore"
+	"github.com/basilrail/basilrail/internal/events"
+	"github.com/basilrail/basilrail/internal/peers"
+	"github.com/basilrail/basilrail/internal/platform"
+	"github.com/basilrail/basilrail/internal/statechart"
+)
+
+const (
+	// pollsPerSecond bounds the probes of one instance, about 400 bytes each.
+	pollsPerSecond = 8.0
+	// pollBurst lets several servers be asked at once after an event.
+	pollBurst = 16
+	// pollInterval is the time between two probes of a server that is well, if
+	// the rate allows it.
+	pollInterval = 2 * time.Second
+	// retryInterval is the first wait before a server that failed is probed again.
+	retryInterval = 500 * time.Millisecond
+	// retryIntervalMax bounds that wait, so that a server that is back is seen
+	// within a few seconds.
+	retryIntervalMax = 2 * time.Second
+	// probeTimeout bounds one probe.
+	probeTimeout = time.Second
+	// leavingHold is how long a server's own refusal outweighs later reports of
+	// the same process that do not say that it is leaving.
+	leavingHold = 30 * time.Second
+)
+
+// Options is what a Watcher needs.
+type Options struct {
+	Store  *datastore.Store
+	Client *http.Client
+	Bus    peers.Bus
+	Chart  *statechart.Chart
+	Rand   *rand.Rand
+	Logger *events.Logger
+}
+
+// ServerState is one line of States.
+type ServerState struct {
+	Server   string           `json:"server"`
+	Instance string           `json:"instance"`
+	State    statechart.State `json:"state"`
+	// Ejected servers fail the attempts sent to them and are left alone for a while.
+	Ejected bool `json:"ejected"`
+}
+
+// Watcher is safe for concurrent use.
+type Watcher struct {
+	store   *datastore.Store
+	client  *http.Client
+	bus     peers.Bus
+	chart   *statechart.Chart
+	logger  *events.Logger
+	limiter *rate.Limiter
+	wake    chan struct{}
+	probes  sync.WaitGroup
+
+	mu      sync.Mutex
+	rand    *rand.Rand
+	servers map[string]*tracked
+}
+
+// tracked is one watched server.
+type tracked struct {
+	machine *statechart.Machine
+	status  datastore.Status
+	address string
+	due     time.Time
+	probing bool
+	// failures counts the probes that failed in a row.
+	failures int
+	// listed is what the membership list says.
+	listedLeaving bool
+	// refusedAt is when the process refused work because it is leaving.
+	refusedAt       time.Time
+	refusedInstance string
+	ejection        ejection
+}
+
+// New makes a Watcher and registers its message handler.
+func New(o Options) *Watcher {
+	w := &Watcher{
+		store:   o.Store,
+		client:  o.Client,
+		bus:     o.Bus,
+		chart:   o.Chart,
+		logger:  o.Logger,
+		limiter: rate.NewLimiter(pollsPerSecond, pollBurst),
+		wake:    make(chan struct{}, 1),
+		rand:    o.Rand,
+		servers: make(map[string]*tracked),
+	}
+	o.Bus.Handle(peers.KindServerState, w.handleState)
+	return w
+}
+
+// Run probes the watched servers until ctx ends.
+func (w *Watcher) Run(ctx context.Context) {
+	defer w.probes.Wait()
+	for {
+		w.sync()
+		timer := time.NewTimer(w.startDue(ctx))
+		select {
+		case <-ctx.Done():
+			timer.Stop()
+			return
+		case <-w.wake:
+			timer.Stop()
+		case <-timer.C:
+		}
+	}
+}
+
+// sync follows the settings: new servers are tracked, removed ones forgotten.
+func (w *Watcher) sync() {
+	watched := w.store.Snapshot().Watched()
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	listed := make(map[string]bool, len(watched))
+	for _, server := range watched {
+		listed[server.ID] = true
+		if t, ok := w.servers[server.ID]; !ok || t.address != server.Settings.Address {
+			w.servers[server.ID] = w.track(server)
+		}
+	}
+	maps.DeleteFunc(w.servers, func(id string, _ *tracked) bool { return !listed[id] })
+}
+
+// track begins with a server; its first probe is due at once.
+func (w *Watcher) track(server *datastore.Server) *tracked {
+	t := &tracked{
+		machine: statechart.NewMachine(w.chart),
+		status:  *server.Status(),
+		address: server.Settings.Address,
+		due:     time.Now(),
+	}
+	t.machine.OnChange(func(from, to statechart.State, _ statechart.Event) {
+		w.logger.Log(events.ServerStateChanged, events.Fields{Server: server.ID, Reason: string(from) + " to " + string(to)})
+	})
+	return t
+}
+
+// signal wakes Run without blocking.
+func (w *Watcher) signal() {
+	select {
+	case w.wake <- struct{}{}:
+	default:
+	}
+}
+
+// SetMembers takes in the membership list's backend servers. A listed server
+// that is leaving gets no new work whatever it reports itself.
+func (w *Watcher) SetMembers(list []platform.Member) {
+	leaving := make(map[string]bool)
+	for _, m := range list {
+		leaving[m.ID] = m.Kind == platform.MemberServer && m.Leaving
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for id, t := range w.servers {
+		if leaving[id] != t.listedLeaving {
+			t.listedLeaving = leaving[id]
+			w.settle(id, t)
+		}
+	}
+}
+
+// States lists the watched servers in the order of their ids.
+func (w *Watcher) States() []ServerState {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	now := time.Now()
+	list := make([]ServerState, 0, len(w.servers))
+	for _, id := range slices.Sorted(maps.Keys(w.servers)) {
+		t := w.servers[id]
+		list = append(list, ServerState{
+			Server: id, Instance: t.status.Instance, State: t.machine.State(), Ejected: t.ejection.active(now),
+		})
+	}
+	return list
+}
--- /dev/null
+++ b/internal/serverwatch/watcher_test.go
@@ -0,0 +1,258 @@
+package serverwatch
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/basilrail/basilrail/internal/backend"
+	"github.com/basilrail/basilrail/internal/datastore"
+	"github.com/basilrail/basilrail/internal/peers/membus"
+	"github.com/basilrail/basilrail/internal/platform"
+	"github.com/basilrail/basilrail/internal/settings"
+	"github.com/basilrail/basilrail/internal/statechart"
+)
+
+// servers answers status requests in place of the network, by address.
+type servers struct {
+	mu      sync.Mutex
+	reports map[string]report
+	errs    map[string]error
+	asked   int
+}
+
+func newServers(n int) *servers {
+	s := &servers{reports: make(map[string]report), errs: make(map[string]error)}
+	for i := range n {
+		s.reports[address(i)] = report{Instance: "p1", Versions: []string{"writer@1"}}
+	}
+	return s
+}
+
+func address(i int) string { return fmt.Sprintf("10.0.%d.%d:80", i/250, i%250+1) }
+
+func (s *servers) set(i int, r report, err error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.reports[address(i)], s.errs[address(i)] = r, err
+}
+
+// count is the number of status requests so far.
+func (s *servers) count() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.asked
+}
+
+func (s *servers) RoundTrip(req *http.Request) (*http.Response, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.asked++
+	if err := s.errs[req.URL.Host]; err != nil {
+		return nil, err
+	}
+	body, err := json.Marshal(s.reports[req.URL.Host])
+	return &http.Response{StatusCode: http.StatusOK, Body: io.NopCloser(strings.NewReader(string(body)))}, err
+}
+
+// fleet is some entry instances before the same servers.
+type fleet struct {
+	servers  *servers
+	watchers []*Watcher
+}
+
+func newFleet(t *testing.T, entries, n int) *fleet {
+	charts, err := statechart.Load()
+	require.NoError(t, err)
+	f := &fleet{servers: newServers(n)}
+	tree := settings.Tree{Servers: make(map[string]settings.Server)}
+	for i := range n {
+		tree.Servers[fmt.Sprint("s", i)] = settings.Server{Address: address(i)}
+	}
+	network := membus.New()
+	for i := range entries {
+		store := datastore.New()
+		store.SetSettings(settings.Compile(1, tree))
+		w := New(Options{
+			Store: store, Client: &http.Client{Transport: f.servers}, Bus: network.Join(fmt.Sprint("entry-", i), "a"),
+			Chart: charts.Server, Rand: rand.New(rand.NewPCG(1, uint64(i))),
+		})
+		f.watchers = append(f.watchers, w)
+		go w.Run(t.Context())
+	}
+	time.Sleep(2 * pollInterval)
+	return f
+}
+
+// everywhere waits until a server's status meets a condition at every instance.
+func (f *fleet) everywhere(t *testing.T, within time.Duration, server string, met func(*datastore.Status) bool) {
+	t.Helper()
+	all := func() bool {
+		for _, w := range f.watchers {
+			if !met(w.store.Snapshot().Servers[server].Status()) {
+				return false
+			}
+		}
+		return true
+	}
+	for start := time.Now(); !all(); time.Sleep(10 * time.Millisecond) {
+		require.Less(t, time.Since(start), within)
+	}
+}
+
+// fewSeconds is the time in which every instance must know of a leaving server.
+const fewSeconds = 3 * time.Second
+
+var errTimeout = context.DeadlineExceeded
+
+// A version is routed to only where it is reported loaded.
+func TestReportedVersions(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 1, 2)
+		one, two := settings.VersionRef{Model: "writer", Version: "1"}, settings.VersionRef{Model: "writer", Version: "2"}
+		snapshot := f.watchers[0].store.Snapshot
+		require.Len(t, snapshot().ForVersion(one), 2)
+		f.servers.set(1, report{Instance: "p1", Versions: []string{"writer@2", "not a version"}}, nil)
+		time.Sleep(2 * pollInterval)
+		require.Len(t, snapshot().ForVersion(one), 1)
+		require.Len(t, snapshot().ForVersion(two), 1)
+	})
+}
+
+// A leaving server gets no new work from any instance, whoever noticed, while
+// the list and the server's own report lag; its next process does.
+func TestLeavingIsKnownEverywhere(t *testing.T) {
+	tests := []struct {
+		desc   string
+		notice func(f *fleet)
+	}{
+		{desc: "its own status", notice: func(f *fleet) {
+			f.servers.set(0, report{Instance: "p1", Leaving: true}, nil)
+		}},
+		{desc: "a refusal of an attempt", notice: func(f *fleet) {
+			f.watchers[2].Report(&backend.Error{Fate: backend.Refused, Server: "s0", Leaving: true})
+		}},
+		{desc: "the list", notice: func(f *fleet) {
+			for _, w := range f.watchers {
+				w.SetMembers([]platform.Member{{ID: "s0", Kind: platform.MemberServer, Leaving: true}})
+			}
+		}},
+	}
+	for _, test := range tests {
+		t.Run(test.desc, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFleet(t, 9, 20)
+				test.notice(f)
+				f.everywhere(t, fewSeconds, "s0", func(s *datastore.Status) bool { return s.Leaving })
+				time.Sleep(leavingHold / 2)
+				f.everywhere(t, time.Millisecond, "s0", func(s *datastore.Status) bool { return s.Leaving })
+				for _, w := range f.watchers {
+					w.SetMembers(nil)
+				}
+				f.servers.set(0, report{Instance: "p2"}, nil)
+				f.everywhere(t, 2*fewSeconds, "s0", func(s *datastore.Status) bool { return !s.Leaving && s.Instance == "p2" })
+			})
+		})
+	}
+}
+
+// A server on which nothing listens is down everywhere soon, and up soon after
+// it is back.
+func TestDownAndBack(t *testing.T) {
+	const backWithin = 5 * time.Second
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 9, 20)
+		f.servers.set(3, report{}, syscall.ECONNREFUSED)
+		f.everywhere(t, fewSeconds, "s3", func(s *datastore.Status) bool { return s.Down })
+		time.Sleep(time.Minute)
+		f.servers.set(3, report{Instance: "p2"}, nil)
+		f.everywhere(t, backWithin, "s3", func(s *datastore.Status) bool { return !s.Down })
+	})
+}
+
+// Only the end of the process counts as a crash.
+func TestConfirmCrash(t *testing.T) {
+	tests := []struct {
+		desc   string
+		report report
+		err    error
+		want   bool
+	}{
+		{desc: "nothing listens", err: syscall.ECONNREFUSED, want: true},
+		{desc: "another process answers", report: report{Instance: "p2"}, want: true},
+		{desc: "the same process answers", report: report{Instance: "p1"}},
+		{desc: "no answer", err: errTimeout},
+		{desc: "the network is cut", err: errors.New("no route to host")},
+	}
+	for _, test := range tests {
+		t.Run(test.desc, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFleet(t, 1, 2)
+				f.servers.set(0, test.report, test.err)
+				require.Equal(t, test.want, f.watchers[0].ConfirmCrash(t.Context(), "s0", "p1"))
+			})
+		})
+	}
+}
+
+// A server that reports itself well and fails its attempts is left alone, for
+// longer each time, and never for more than ejectForMax.
+func TestFailingServerIsEjected(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 1, 2)
+		w := f.watchers[0]
+		down := func() bool { return w.store.Snapshot().Servers["s0"].Status().Down }
+		last := time.Duration(0)
+		for range 6 {
+			for range ejectAfter {
+				require.False(t, down())
+				w.Report(&backend.Error{Fate: backend.Answered, Server: "s0"})
+			}
+			start := time.Now()
+			for down() {
+				time.Sleep(10 * time.Millisecond)
+			}
+			require.GreaterOrEqual(t, time.Since(start), last)
+			last = min(time.Since(start), ejectForMax)
+		}
+		require.Equal(t, ejectForMax, last)
+		w.Succeeded("s0")
+		w.Report(&backend.Error{Fate: backend.Refused, Server: "s0"})
+		require.False(t, down(), "a refusal for lack of capacity is no failure")
+	})
+}
+
+// The probes stay within their rate, however many servers there are.
+func TestProbeRateIsBounded(t *testing.T) {
+	const servers, seconds = 1000, 60
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 1, servers)
+		before := f.servers.count()
+		time.Sleep(seconds * time.Second)
+		asked := f.servers.count() - before
+		require.LessOrEqual(t, asked, int(pollsPerSecond*seconds+pollBurst))
+		require.GreaterOrEqual(t, asked, int(pollsPerSecond*seconds*9/10))
+	})
+}
+
+func FuzzDecodeReport(f *testing.F) {
+	f.Add([]byte(`{"instance":"p1","versions":["writer@1"],"queued_tokens":1,"leaving":true}`))
+	f.Fuzz(func(_ *testing.T, body []byte) {
+		if got, err := decodeReport(strings.NewReader(string(body))); err == nil {
+			parseVersions(got.Versions)
+		}
+		_, _ = decodeState(body)
+	})
+}
