--- a/internal/backend/client.go
+++ b/internal/backend/client.go
@@ -15,6 +15,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/basilrail/basilrail/internal/datastore"
+	"github.com/basilrail/basilrail/internal/tracing"
 )
 
 // Headers between an entry instance and a backend server.
@@ -110,6 +111,7 @@
 		req.Header[name] = values
 	}
 	req.Header.Set(HeaderAttemptID, call.AttemptID)
+	tracing.Inject(ctx, req.Header)
 	return req, nil
 }
 
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -12,11 +12,11 @@
 	"time"
 
 	"github.com/sirupsen/logrus"
-	"go.opentelemetry.io/otel/trace/noop"
 
 	"github.com/basilrail/basilrail/internal/entry"
 	"github.com/basilrail/basilrail/internal/events"
 	"github.com/basilrail/basilrail/internal/staticconfig"
+	"github.com/basilrail/basilrail/internal/tracing"
 )
 
 // Exit codes of the process.
@@ -26,6 +26,9 @@
 	exitUsage  = 2
 )
 
+// traceTimeout bounds the sending of the last spans.
+const traceTimeout = 2 * time.Second
+
 // dialTimeout bounds the making of a connection.
 const dialTimeout = 2 * time.Second
 
@@ -49,13 +52,24 @@
 }
 
 func run(ctx context.Context, cfg *staticconfig.Config, out io.Writer) error {
+	traces, err := tracing.New(ctx, tracing.Options{
+		Instance:      cfg.Instance.Value,
+		FailureDomain: cfg.FailureDomain.Value,
+		Endpoint:      cfg.OTLPEndpoint.Value,
+		Sample:        cfg.TraceSample.Value,
+		Requests:      cfg.ExplainRecords.Value,
+	})
+	if err != nil {
+		return err
+	}
+	defer shutDown(traces)
 	dialer := &net.Dialer{Timeout: dialTimeout}
 	instance, err := entry.New(entry.Options{
-		Config: cfg,
-		Listen: func(address string) (net.Listener, error) { return net.Listen("tcp", address) },
-		Dial:   dialer.DialContext,
-		Log:    events.NewLogger(newLogger(cfg, out)),
-		Tracer: noop.NewTracerProvider().Tracer("basilrail"),
+		Config:  cfg,
+		Listen:  func(address string) (net.Listener, error) { return net.Listen("tcp", address) },
+		Dial:    dialer.DialContext,
+		Log:     events.NewLogger(newLogger(cfg, out)),
+		Tracing: traces,
 	})
 	if err != nil {
 		return err
@@ -63,6 +77,13 @@
 	return instance.Run(ctx)
 }
 
+// shutDown sends the spans that wait; a collector that is slow loses them.
+func shutDown(traces *tracing.Tracing) {
+	ctx, cancel := context.WithTimeout(context.Background(), traceTimeout)
+	defer cancel()
+	_ = traces.Shutdown(ctx)
+}
+
 func newLogger(cfg *staticconfig.Config, out io.Writer) *logrus.Logger {
 	logger := logrus.New()
 	logger.SetOutput(out)
--- a/internal/entry/adapters.go
+++ b/internal/entry/adapters.go
@@ -3,15 +3,17 @@
 import (
 	"context"
 
-	"github.com/basilrail/basilrail/internal/backend"
+	"github.com/pkg/errors"
+
+	"github.com/basilrail/basilrail/internal/adminapi"
+	"github.com/basilrail/basilrail/internal/billing"
 	"github.com/basilrail/basilrail/internal/configsync"
 	"github.com/basilrail/basilrail/internal/datastore"
-	"github.com/basilrail/basilrail/internal/gateway"
 	"github.com/basilrail/basilrail/internal/platform"
 	"github.com/basilrail/basilrail/internal/quarantine"
+	"github.com/basilrail/basilrail/internal/rollout"
+	"github.com/basilrail/basilrail/internal/serverwatch"
 	"github.com/basilrail/basilrail/internal/settings"
-
-	"github.com/pkg/errors"
 )
 
 // applier lets the roll-outs change settings.
@@ -46,17 +48,30 @@
 // suspectTracker tells a crash of a server from the cut of one connection.
 type suspectTracker struct {
 	*quarantine.Quarantine
+	servers *serverwatch.Watcher
 }
 
-// Broken counts a crash.
-func (s suspectTracker) Broken(_ context.Context, server *datastore.Server, instance string) {
-	s.Crashed(server.ID, instance)
+// Broken counts a crash if the server's process ended.
+func (s suspectTracker) Broken(ctx context.Context, server *datastore.Server, instance string) {
+	if s.servers.ConfirmCrash(context.WithoutCancel(ctx), server.ID, instance) {
+		s.Crashed(server.ID, instance)
+	}
 }
 
-type serverReports struct{}
+// rolloutEvidence shows operators what is known of a version.
+type rolloutEvidence struct{ controller *rollout.Controller }
 
-func (serverReports) Report(*backend.Error) {}
+// Evidence returns the pooled counts.
+func (r rolloutEvidence) Evidence(ref settings.VersionRef) adminapi.Evidence {
+	counts, suspended := r.controller.Evidence(ref)
+	return adminapi.Evidence{Good: counts.Good, Bad: counts.Bad, Suspended: suspended}
+}
 
-type dropRecords struct{}
+// billLister shows operators the stored bills.
+type billLister struct{ reader *billing.Reader }
 
-func (dropRecords) Add(*gateway.Record) {}
+// List returns a page of bills.
+func (b billLister) List(ctx context.Context, account settings.AccountID, after string, limit int) ([]billing.Record, string, error) {
+	page, err := b.reader.List(ctx, account, after, limit)
+	return page.Bills, page.Next, err
+}
--- a/internal/entry/build.go
+++ b/internal/entry/build.go
@@ -13,6 +13,7 @@
 	"github.com/basilrail/basilrail/internal/claim"
 	"github.com/basilrail/basilrail/internal/configsync"
 	"github.com/basilrail/basilrail/internal/datastore"
+	"github.com/basilrail/basilrail/internal/explain"
 	"github.com/basilrail/basilrail/internal/flowcontrol"
 	"github.com/basilrail/basilrail/internal/gateway"
 	"github.com/basilrail/basilrail/internal/membership"
@@ -25,6 +26,7 @@
 	"github.com/basilrail/basilrail/internal/rating"
 	"github.com/basilrail/basilrail/internal/retry"
 	"github.com/basilrail/basilrail/internal/rollout"
+	"github.com/basilrail/basilrail/internal/serverwatch"
 	"github.com/basilrail/basilrail/internal/session"
 	"github.com/basilrail/basilrail/internal/settings"
 	"github.com/basilrail/basilrail/internal/statechart"
@@ -35,7 +37,7 @@
 	// claims and bills of the whole fleet may take.
 	fleetCommitsPerSecond = 300.0
 	// subsetSize is the number of servers of each model that an instance uses.
-	subsetSize = 128
+	subsetSize = 24
 	// maxAnswerBytes bounds a whole answer of a backend server.
 	maxAnswerBytes = 16 << 20
 	// idleConnsPerServer is the number of idle connections kept to a backend server.
@@ -120,6 +122,16 @@
 
 // buildDecisions makes what chooses, learns and protects.
 func (i *Instance) buildDecisions(bus peers.Bus) {
+	i.watcher = serverwatch.New(serverwatch.Options{
+		Store:  i.data,
+		Client: &http.Client{Transport: i.transport()},
+		Bus:    bus,
+		Chart:  i.charts.Server,
+		Rand:   i.newRand(),
+		Logger: i.log,
+	})
+	i.members.OnChange(func(v *membership.View) { i.watcher.SetMembers(v.Servers) })
+	i.explain = explain.New(bus, i.opts.Tracing.Recorder(), i.cfg.ExplainRecords.Value)
 	i.suspects = quarantine.New(quarantine.Options{Bus: bus, Table: i.platform, Rand: i.newRand(), Logger: i.log})
 	i.rollouts = rollout.New(rollout.Options{
 		Bus:      bus,
@@ -154,16 +166,16 @@
 		Versions:      i.rollouts,
 		Planner:       i.planner,
 		Admission:     i.admit,
-		Suspects:      suspectTracker{Quarantine: i.suspects},
+		Suspects:      suspectTracker{Quarantine: i.suspects, servers: i.watcher},
 		Retries:       retry.New(i.newRand()),
-		Servers:       serverReports{},
+		Servers:       i.watcher,
 		Claims:        i.claims,
 		Bills:         i.ledger,
 		Rater:         rating.New(&http.Client{Transport: i.transport()}, i.ratingURL()),
 		Charts:        i.charts,
-		Records:       dropRecords{},
+		Records:       i.explain,
 		Log:           i.log,
-		Tracer:        i.opts.Tracer,
+		Tracer:        i.opts.Tracing.Tracer(),
 		Rand:          i.newRand(),
 		StreamTime:    i.cfg.StreamTime.Value,
 		WriteTimeout:  i.cfg.WriteTimeout.Value,
--- a/internal/entry/fleet_test.go
+++ b/internal/entry/fleet_test.go
@@ -17,7 +17,6 @@
 
 	"github.com/sirupsen/logrus"
 	"github.com/stretchr/testify/require"
-	"go.opentelemetry.io/otel/trace/noop"
 
 	"github.com/basilrail/basilrail/internal/apierror"
 	"github.com/basilrail/basilrail/internal/events"
@@ -28,6 +27,7 @@
 	"github.com/basilrail/basilrail/internal/standin/platformserver"
 	"github.com/basilrail/basilrail/internal/standin/rater"
 	"github.com/basilrail/basilrail/internal/staticconfig"
+	"github.com/basilrail/basilrail/internal/tracing"
 )
 
 const (
@@ -156,15 +156,17 @@
 		"--token-secret=" + secret,
 	})
 	require.NoError(f.t, err)
+	traces, err := tracing.New(context.Background(), tracing.Options{Requests: 100})
+	require.NoError(f.t, err)
 	logger := logrus.New()
 	logger.SetOutput(f)
 	instance, err := New(Options{
-		Config: cfg,
-		Listen: func(address string) (net.Listener, error) { return f.network.Listen(address) },
-		Dial:   f.network.Dial,
-		Log:    events.NewLogger(logger),
-		Tracer: noop.NewTracerProvider().Tracer("test"),
-		Seed:   testSeed,
+		Config:  cfg,
+		Listen:  func(address string) (net.Listener, error) { return f.network.Listen(address) },
+		Dial:    f.network.Dial,
+		Log:     events.NewLogger(logger),
+		Tracing: traces,
+		Seed:    testSeed,
 	})
 	require.NoError(f.t, err)
 	ctx, stop := context.WithCancel(context.Background())
--- a/internal/entry/instance.go
+++ b/internal/entry/instance.go
@@ -11,8 +11,6 @@
 	"sync"
 	"time"
 
-	"go.opentelemetry.io/otel/trace"
-
 	"github.com/basilrail/basilrail/internal/backend"
 	"github.com/basilrail/basilrail/internal/billing"
 	"github.com/basilrail/basilrail/internal/cascade"
@@ -20,6 +18,7 @@
 	"github.com/basilrail/basilrail/internal/configsync"
 	"github.com/basilrail/basilrail/internal/datastore"
 	"github.com/basilrail/basilrail/internal/events"
+	"github.com/basilrail/basilrail/internal/explain"
 	"github.com/basilrail/basilrail/internal/flowcontrol"
 	"github.com/basilrail/basilrail/internal/gateway"
 	"github.com/basilrail/basilrail/internal/membership"
@@ -27,8 +26,10 @@
 	"github.com/basilrail/basilrail/internal/platform/httpplatform"
 	"github.com/basilrail/basilrail/internal/quarantine"
 	"github.com/basilrail/basilrail/internal/rollout"
+	"github.com/basilrail/basilrail/internal/serverwatch"
 	"github.com/basilrail/basilrail/internal/statechart"
 	"github.com/basilrail/basilrail/internal/staticconfig"
+	"github.com/basilrail/basilrail/internal/tracing"
 )
 
 // Options is what an Instance needs besides its flags.
@@ -37,9 +38,9 @@
 	// Listen opens a listener at "ip:port".
 	Listen func(address string) (net.Listener, error)
 	// Dial connects like net.Dialer.DialContext.
-	Dial   func(ctx context.Context, network, address string) (net.Conn, error)
-	Log    *events.Logger
-	Tracer trace.Tracer
+	Dial    func(ctx context.Context, network, address string) (net.Conn, error)
+	Log     *events.Logger
+	Tracing *tracing.Tracing
 	// Seed makes the random decisions repeatable; zero takes one from the system.
 	Seed uint64
 }
@@ -64,6 +65,8 @@
 	planner  *cascade.Planner
 	admit    *flowcontrol.Controller
 	windows  *windows
+	watcher  *serverwatch.Watcher
+	explain  *explain.Store
 	backend  *backend.Client
 	gateway  *gateway.Gateway
 	life     *lifecycle
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/basilrail/basilrail/internal/admin"
+	"github.com/basilrail/basilrail/internal/billing"
 	"github.com/basilrail/basilrail/internal/events"
 	"github.com/basilrail/basilrail/internal/statechart"
 	"github.com/basilrail/basilrail/internal/staticconfig"
@@ -58,6 +59,9 @@
 	i.mountHealth(operators)
 	operators.Mount("/", admin.New(admin.Options{
 		Settings:           i.syncer,
+		Rollouts:           rolloutEvidence{i.rollouts},
+		Explainer:          i.explain,
+		Bills:              billLister{billing.NewReader(i.platform)},
 		Log:                i.log,
 		BootstrapKeySHA256: i.cfg.BootstrapKeySHA256.Value,
 	}))
@@ -119,7 +123,7 @@
 	i.goLoop(ctx, i.ledger.Run)
 	i.goLoop(ctx, i.suspects.Run)
 	i.goLoop(ctx, i.rollouts.Run)
-	i.goLoop(ctx, i.watchServers)
+	i.goLoop(ctx, i.watcher.Run)
 	i.goLoop(ctx, i.windows.Run)
 	i.goLoop(ctx, func(ctx context.Context) { every(ctx, observeInterval, i.life.observe) })
 }
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -16,6 +16,7 @@
 	"github.com/basilrail/basilrail/internal/scheduling"
 	"github.com/basilrail/basilrail/internal/settings"
 	"github.com/basilrail/basilrail/internal/statechart"
+	"github.com/basilrail/basilrail/internal/tracing"
 )
 
 const (
@@ -117,7 +118,7 @@
 
 // queue waits in the fair queue.
 func (w *work) queue(ctx context.Context) (*flowcontrol.Grant, *apierror.Error) {
-	ctx, span := startSpan(ctx, w.r, spanQueue)
+	ctx, span := startSpan(ctx, w.r, tracing.HopQueue)
 	defer span.End()
 	grant, err := w.r.gateway.Admission.Acquire(ctx, flowcontrol.Ticket{
 		Account:  w.r.view.ID,
@@ -230,10 +231,12 @@
 	p.work.r.gateway.Suspects.End(p.id, err == nil)
 	p.grant.Release(tokens)
 	p.record.Duration = time.Since(p.started)
-	p.record.Outcome = "answered"
 	if err != nil {
 		p.record.Outcome = err.Error()
+		return
 	}
+	p.record.Outcome = "answered"
+	p.work.r.gateway.Servers.Succeeded(p.server.ID)
 }
 
 // line adds the attempt to the request's bill.
--- a/internal/gateway/chat.go
+++ b/internal/gateway/chat.go
@@ -16,6 +16,7 @@
 	"github.com/basilrail/basilrail/internal/session"
 	"github.com/basilrail/basilrail/internal/settings"
 	"github.com/basilrail/basilrail/internal/statechart"
+	"github.com/basilrail/basilrail/internal/tracing"
 )
 
 // prefixBytes is how much of a prompt decides its prefix affinity.
@@ -305,7 +306,7 @@
 }
 
 func (c *chat) sendWhole(ctx context.Context, p *placement, body []byte) (*backend.Completion, error) {
-	ctx, span := startSpan(ctx, c.request, spanAttempt)
+	ctx, span := startSpan(ctx, c.request, tracing.HopAttempt)
 	defer span.End()
 	completion, err := c.gateway.Backend.Complete(ctx, backend.Chat{
 		AttemptID: p.id,
--- a/internal/gateway/judge.go
+++ b/internal/gateway/judge.go
@@ -11,6 +11,7 @@
 	"github.com/basilrail/basilrail/internal/cascade"
 	"github.com/basilrail/basilrail/internal/events"
 	"github.com/basilrail/basilrail/internal/settings"
+	"github.com/basilrail/basilrail/internal/tracing"
 )
 
 // sampleTimeout bounds a rating that no caller waits for.
@@ -31,7 +32,7 @@
 // rate asks the rating service and learns from its answer. Judged tells that
 // the caller waits for the rating.
 func (c *chat) rate(ctx context.Context, ref settings.VersionRef, text string, judged bool) (float64, error) {
-	ctx, span := startSpan(ctx, c.request, spanRating)
+	ctx, span := startSpan(ctx, c.request, tracing.HopRating)
 	defer span.End()
 	if !c.gateway.Planner.Budget.Take(time.Now()) {
 		return 0, errNoRatingLeft
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -19,6 +19,7 @@
 	"github.com/basilrail/basilrail/internal/events"
 	"github.com/basilrail/basilrail/internal/settings"
 	"github.com/basilrail/basilrail/internal/statechart"
+	"github.com/basilrail/basilrail/internal/tracing"
 )
 
 // request is one caller's request on its way.
@@ -79,7 +80,7 @@
 	if refusal := r.read(); refusal != nil {
 		return refusal
 	}
-	ctx, span := startSpan(ctx, r, spanEntry)
+	ctx, span := startEntry(ctx, r)
 	defer span.End()
 	return handle(ctx, r)
 }
@@ -237,7 +238,7 @@
 // bill makes the request's bill durable. It is called before the caller sees
 // the end of the answer.
 func (r *request) bill(ctx context.Context) error {
-	ctx, span := startSpan(ctx, r, spanBill)
+	ctx, span := startSpan(ctx, r, tracing.HopBill)
 	defer span.End()
 	rec := billing.Record{Account: r.view.ID, RequestID: r.billName(), At: time.Now().UTC(), Lines: r.lines}
 	for _, line := range r.lines {
--- a/internal/gateway/service.go
+++ b/internal/gateway/service.go
@@ -17,6 +17,7 @@
 	"github.com/basilrail/basilrail/internal/quarantine"
 	"github.com/basilrail/basilrail/internal/settings"
 	"github.com/basilrail/basilrail/internal/statechart"
+	"github.com/basilrail/basilrail/internal/tracing"
 )
 
 // serviceTokens is the estimated cost of a plain call in the fair queue.
@@ -116,7 +117,7 @@
 }
 
 func (s *serviceCall) acquire(ctx context.Context) claim.Result {
-	ctx, span := startSpan(ctx, s.request, spanClaim)
+	ctx, span := startSpan(ctx, s.request, tracing.HopClaim)
 	defer span.End()
 	return s.gateway.Claims.Acquire(ctx, s.claimKey(), s.fingerprint(), s.id)
 }
@@ -195,7 +196,7 @@
 }
 
 func (s *serviceCall) send(ctx context.Context, p *placement) (*backend.Answer, error) {
-	ctx, span := startSpan(ctx, s.request, spanAttempt)
+	ctx, span := startSpan(ctx, s.request, tracing.HopAttempt)
 	defer span.End()
 	answer, err := s.gateway.Backend.Do(ctx, backend.Call{
 		AttemptID: p.id,
--- a/internal/gateway/spans.go
+++ b/internal/gateway/spans.go
@@ -5,26 +5,20 @@
 
 	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/trace"
-)
 
-// The names of the spans, one for each hop.
-const (
-	spanEntry   = "entry"
-	spanQueue   = "queue"
-	spanClaim   = "claim"
-	spanAttempt = "attempt"
-	spanRating  = "rating"
-	spanBill    = "bill"
+	"github.com/basilrail/basilrail/internal/tracing"
 )
 
-// startSpan starts a span of a request; the tracer drops it when tracing is off.
-func startSpan(ctx context.Context, r *request, name string) (context.Context, trace.Span) {
-	ctx, span := r.gateway.Tracer.Start(ctx, name, trace.WithAttributes(
-		attribute.String("request_id", r.id),
-		attribute.String("client_account", string(r.view.ID)),
-	))
-	if r.record.TraceID == "" && span.SpanContext().HasTraceID() {
-		r.record.TraceID = span.SpanContext().TraceID().String()
-	}
+// startSpan starts the span of a hop of a request.
+func startSpan(ctx context.Context, r *request, hop string) (context.Context, trace.Span) {
+	ctx, span := r.gateway.Tracer.Start(ctx, hop, trace.WithAttributes(tracing.RequestIDKey.String(r.id)))
+	return ctx, span
+}
+
+// startEntry starts the span of the whole request; it continues the caller's trace.
+func startEntry(ctx context.Context, r *request) (context.Context, trace.Span) {
+	ctx, span := startSpan(tracing.Extract(ctx, r.http.Header), r, tracing.HopEntry)
+	span.SetAttributes(attribute.String("client_account", string(r.view.ID)))
+	r.record.TraceID = span.SpanContext().TraceID().String()
 	return ctx, span
 }
--- a/internal/gateway/steps.go
+++ b/internal/gateway/steps.go
@@ -23,6 +23,7 @@
 // ServerReports hears how attempts on backend servers ended.
 type ServerReports interface {
 	Report(failure *backend.Error)
+	Succeeded(server string)
 }
 
 // Rater rates answers.
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -14,6 +14,7 @@
 	"github.com/basilrail/basilrail/internal/cascade"
 	"github.com/basilrail/basilrail/internal/settings"
 	"github.com/basilrail/basilrail/internal/statechart"
+	"github.com/basilrail/basilrail/internal/tracing"
 )
 
 // chunkObject is the object name of a streamed event.
@@ -116,7 +117,7 @@
 
 // pump passes chunks on until the terminal event.
 func (l *live) pump(ctx context.Context, p *placement) error {
-	ctx, span := startSpan(ctx, l.c.request, spanAttempt)
+	ctx, span := startSpan(ctx, l.c.request, tracing.HopAttempt)
 	defer span.End()
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
--- a/internal/rollout/controller.go
+++ b/internal/rollout/controller.go
@@ -243,3 +243,19 @@
 	defer c.mu.Unlock()
 	return c.pool.totals[trialOf(s, account.TeamName, ref)].Total() < ratedEnough
 }
+
+// Evidence adds up what is known of a version over all teams, and tells whether
+// any team's use of it is suspended.
+func (c *Controller) Evidence(ref settings.VersionRef) (counts Counts, suspended bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for trial, total := range c.pool.totals {
+		if trial.Ref != ref {
+			continue
+		}
+		counts.Good += total.Good
+		counts.Bad += total.Bad
+		suspended = suspended || c.View().Suspended(trial.Team, ref)
+	}
+	return counts, suspended
+}
