Add orders to backend servers under a lease with fencing numbers

One instance at a time gives the orders, under a lease row whose fencing number only grows; whoever waits takes over when the row stood still for 10 s by its own clock, and the holder stops 2 s earlier. Servers that check the number refuse a paused holder; for the others the present holder compares reports with the settings every 2 s and repeats what is missing.

--- /dev/null
+++ b/internal/orders/orders_test.go
@@ -0,0 +1,254 @@
+package orders
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/basilrail/basilrail/internal/datastore"
+	"github.com/basilrail/basilrail/internal/platform/memtable"
+	"github.com/basilrail/basilrail/internal/settings"
+)
+
+var (
+	one   = settings.VersionRef{Model: "writer", Version: "1"}
+	two   = settings.VersionRef{Model: "writer", Version: "2"}
+	three = settings.VersionRef{Model: "writer", Version: "3"}
+)
+
+// engines takes the place of the backend servers, by address.
+type engines struct {
+	mu     sync.Mutex
+	loaded map[string]map[string]bool
+	// fencing is the highest number seen by servers that check it.
+	fencing map[string]uint64
+	checks  bool
+	refused int
+}
+
+func newEngines(n int, checks bool) *engines {
+	e := &engines{loaded: make(map[string]map[string]bool), fencing: make(map[string]uint64), checks: checks}
+	for i := range n {
+		e.loaded[address(i)] = make(map[string]bool)
+	}
+	return e
+}
+
+func address(i int) string { return fmt.Sprintf("10.0.0.%d:80", i+1) }
+
+func (e *engines) RoundTrip(req *http.Request) (*http.Response, error) {
+	var o orderBody
+	if err := json.NewDecoder(req.Body).Decode(&o); err != nil {
+		return nil, err
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	at, status := req.URL.Host, http.StatusOK
+	switch {
+	case e.checks && o.Fencing < e.fencing[at]:
+		status = http.StatusConflict
+		e.refused++
+	case o.Action == ActionLoad:
+		e.loaded[at][o.Version] = true
+	default:
+		delete(e.loaded[at], o.Version)
+	}
+	e.fencing[at] = max(e.fencing[at], o.Fencing)
+	return &http.Response{StatusCode: status, Body: io.NopCloser(strings.NewReader("{}"))}, nil
+}
+
+// versions returns what a server has loaded.
+func (e *engines) versions(i int) []settings.VersionRef {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	var refs []settings.VersionRef
+	for _, ref := range []settings.VersionRef{one, two, three} {
+		if e.loaded[address(i)][ref.String()] {
+			refs = append(refs, ref)
+		}
+	}
+	return refs
+}
+
+func tree(n int) settings.Tree {
+	tree := settings.Tree{
+		Models: map[string]settings.Model{"writer": {Versions: map[string]settings.Version{"1": {}, "2": {}, "3": {Withdrawn: true}}}},
+		Teams: map[string]settings.Team{"shops": {
+			Models: map[string]settings.TeamModel{"writer": {Stable: "1", Allowed: []string{"1", "2", "3"}}},
+		}},
+		Rollouts: map[string]map[string]settings.Rollout{"shops": {"to-2": {
+			Model: "writer", From: "1", To: "2", Status: settings.RolloutRunning, Stages: []settings.Stage{{Percent: 1}},
+		}}},
+		Servers: make(map[string]settings.Server),
+	}
+	for i := range n {
+		tree.Servers[fmt.Sprint("s", i)] = settings.Server{Address: address(i), Models: []string{"writer"}}
+	}
+	return tree
+}
+
+func newStore(n int) *datastore.Store {
+	store := datastore.New()
+	store.SetSettings(settings.Compile(1, tree(n)))
+	return store
+}
+
+// report stores what every server has loaded, as a watcher does.
+func report(store *datastore.Store, e *engines, n int) {
+	for i := range n {
+		store.SetStatus(fmt.Sprint("s", i), datastore.Status{Versions: e.versions(i), ReportedAt: time.Now()})
+	}
+}
+
+func TestPlan(t *testing.T) {
+	const n = 6
+	store := newStore(n)
+	require.Empty(t, Plan(store.Snapshot()), "silent servers get no orders")
+	e := newEngines(n, true)
+	e.loaded[address(0)] = map[string]bool{one.String(): true, three.String(): true}
+	report(store, e, n)
+	counts := make(map[Order]int)
+	for _, o := range Plan(store.Snapshot()) {
+		counts[Order{Action: o.Action, Ref: o.Ref}]++
+	}
+	require.Equal(t, map[Order]int{
+		{Action: ActionLoad, Ref: one}:     n - 1,
+		{Action: ActionLoad, Ref: two}:     leastServers,
+		{Action: ActionUnload, Ref: three}: 1,
+	}, counts, "a withdrawn version goes, a new one comes to a few servers")
+	store.SetStatus("s1", datastore.Status{Leaving: true, ReportedAt: time.Now()})
+	for _, o := range Plan(store.Snapshot()) {
+		require.NotEqual(t, "s1", o.Server)
+	}
+}
+
+// Only one instance holds the lease at a time, and the number grows with each
+// take-over, through lost answers and outages of the store.
+func TestLease(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		table := memtable.New()
+		leases := []*Lease{NewLease(table, "a", 1), NewLease(table, "b", 2)}
+		last := uint64(0)
+		faults := []memtable.Faults{{}, {LoseAnswers: true}, {}, {Down: true}, {}, {DropWrites: true}, {}}
+		for i := range 2000 {
+			table.SetFaults(faults[i/100%len(faults)])
+			time.Sleep(500 * time.Millisecond)
+			// One of the two is paused for long from time to time.
+			if paused := i / 50 % 3; paused != 0 {
+				_ = leases[0].Step(t.Context())
+			}
+			if paused := i / 50 % 3; paused != 1 {
+				_ = leases[1].Step(t.Context())
+			}
+			numberA, heldA := leases[0].Fencing()
+			numberB, heldB := leases[1].Fencing()
+			require.False(t, heldA && heldB)
+			if heldA || heldB {
+				require.GreaterOrEqual(t, numberA+numberB, last)
+				last = numberA + numberB
+			}
+		}
+		require.Greater(t, last, uint64(5))
+	})
+}
+
+// Of two instances that find the lease free at the same moment one gets it.
+func TestLeaseRace(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		table := memtable.New()
+		table.SetFaults(memtable.Faults{Delay: 100 * time.Millisecond})
+		leases := []*Lease{NewLease(table, "a", 1), NewLease(table, "b", 2)}
+		var steps sync.WaitGroup
+		for _, l := range leases {
+			steps.Go(func() { _ = l.Step(t.Context()) })
+		}
+		steps.Wait()
+		_, heldA := leases[0].Fencing()
+		_, heldB := leases[1].Fencing()
+		require.NotEqual(t, heldA, heldB)
+	})
+}
+
+// A holder paused between its decision and its send orders late. Servers that
+// check the number refuse; on the others the present holder restores what the
+// settings call for, and no request is routed to what is not loaded.
+func TestPausedHolderOrdersLate(t *testing.T) {
+	const n, restoredWithin = 3, 40 * time.Second
+	for _, checks := range []bool{true, false} {
+		t.Run(fmt.Sprint("servers check the number: ", checks), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				table, e := memtable.New(), newEngines(n, checks)
+				client := &http.Client{Transport: e}
+				paused := NewLease(table, "paused", 1)
+				require.NoError(t, paused.Step(t.Context()))
+				number, held := paused.Fencing()
+				require.True(t, held)
+
+				store := newStore(n)
+				present := New(Options{
+					Table: table, Store: store, Client: client, Self: "present",
+					FleetSize: func() int { return 2 }, Rand: rand.New(rand.NewPCG(1, 1)),
+				})
+				go present.Run(t.Context())
+				settled := func() bool {
+					report(store, e, n)
+					return len(Plan(store.Snapshot())) == 0
+				}
+				for !settled() {
+					time.Sleep(time.Second)
+				}
+				require.True(t, present.Holding())
+
+				err := send(t.Context(), client, address(0), number, Order{Server: "s0", Action: ActionUnload, Ref: one})
+				if checks {
+					require.ErrorIs(t, err, ErrFenced)
+					require.Contains(t, e.versions(0), one)
+					return
+				}
+				require.NoError(t, err)
+				report(store, e, n)
+				require.Len(t, store.Snapshot().ForVersion(one), n-1, "not routed to while not loaded")
+				start := time.Now()
+				for !settled() {
+					time.Sleep(time.Second)
+					require.Less(t, time.Since(start), restoredWithin)
+				}
+			})
+		})
+	}
+}
+
+// A holder that a server refuses gives no further orders under its number.
+func TestFencedHolderStops(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const n, newer = 2, 100
+		table, e := memtable.New(), newEngines(n, true)
+		for i := range n {
+			e.fencing[address(i)] = newer
+		}
+		store := newStore(n)
+		report(store, e, n)
+		g := New(Options{
+			Table: table, Store: store, Client: &http.Client{Transport: e}, Self: "a",
+			FleetSize: func() int { return 1 }, Rand: rand.New(rand.NewPCG(1, 1)),
+		})
+		require.NoError(t, g.lease.Step(t.Context()))
+		g.giveDue(t.Context())
+		synctest.Wait()
+		require.Positive(t, e.refused)
+		require.False(t, g.Holding())
+		refused := e.refused
+		g.giveDue(t.Context())
+		synctest.Wait()
+		require.Equal(t, refused, e.refused)
+	})
+}
--- a/internal/serverwatch/watcher_test.go
+++ b/internal/serverwatch/watcher_test.go
@@ -112,8 +112,8 @@
 	}
 }
 
-// fewSeconds is the time in which every instance must know of a leaving server.
-const fewSeconds = 3 * time.Second
+// leavingKnownWithin is the time in which every instance must know of a leaving server.
+const leavingKnownWithin = 3 * time.Second
 
 var errTimeout = context.DeadlineExceeded
 
@@ -155,14 +155,14 @@
 			synctest.Test(t, func(t *testing.T) {
 				f := newFleet(t, 9, 20)
 				test.notice(f)
-				f.everywhere(t, fewSeconds, "s0", func(s *datastore.Status) bool { return s.Leaving })
+				f.everywhere(t, leavingKnownWithin, "s0", func(s *datastore.Status) bool { return s.Leaving })
 				time.Sleep(leavingHold / 2)
 				f.everywhere(t, time.Millisecond, "s0", func(s *datastore.Status) bool { return s.Leaving })
 				for _, w := range f.watchers {
 					w.SetMembers(nil)
 				}
 				f.servers.set(0, report{Instance: "p2"}, nil)
-				f.everywhere(t, 2*fewSeconds, "s0", func(s *datastore.Status) bool { return !s.Leaving && s.Instance == "p2" })
+				f.everywhere(t, 2*leavingKnownWithin, "s0", func(s *datastore.Status) bool { return !s.Leaving && s.Instance == "p2" })
 			})
 		})
 	}
@@ -175,7 +175,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		f := newFleet(t, 9, 20)
 		f.servers.set(3, report{}, syscall.ECONNREFUSED)
-		f.everywhere(t, fewSeconds, "s3", func(s *datastore.Status) bool { return s.Down })
+		f.everywhere(t, leavingKnownWithin, "s3", func(s *datastore.Status) bool { return s.Down })
 		time.Sleep(time.Minute)
 		f.servers.set(3, report{Instance: "p2"}, nil)
 		f.everywhere(t, backWithin, "s3", func(s *datastore.Status) bool { return !s.Down })
