--- a/internal/entry/build.go
+++ b/internal/entry/build.go
@@ -13,6 +13,7 @@
 	"github.com/basilrail/basilrail/internal/claim"
 	"github.com/basilrail/basilrail/internal/configsync"
 	"github.com/basilrail/basilrail/internal/datastore"
+	"github.com/basilrail/basilrail/internal/flowcontrol"
 	"github.com/basilrail/basilrail/internal/gateway"
 	"github.com/basilrail/basilrail/internal/membership"
 	"github.com/basilrail/basilrail/internal/peers"
@@ -49,10 +50,12 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "load the state charts")
 	}
-	i := &Instance{opts: o, cfg: o.Config, log: o.Log, charts: charts}
+	i := &Instance{opts: o, cfg: o.Config, log: o.Log, charts: charts, aborted: make(chan struct{})}
 	i.seeds = seedFor(o.Seed, o.Config.Instance.Value)
 	bus := membus.New().Join(i.cfg.Instance.Value, i.cfg.FailureDomain.Value)
-	i.buildState(bus)
+	if err := i.buildState(bus); err != nil {
+		return nil, err
+	}
 	i.buildDecisions(bus)
 	if err := i.buildGateway(); err != nil {
 		return nil, err
@@ -62,18 +65,23 @@
 
 // transport makes an HTTP transport over the instance's network.
 func (i *Instance) transport() *http.Transport {
-	return &http.Transport{
+	transport := &http.Transport{
 		DialContext:         i.opts.Dial,
 		MaxIdleConnsPerHost: idleConnsPerServer,
 		IdleConnTimeout:     idleConnTimeout,
 		DisableCompression:  true,
 	}
+	i.transports = append(i.transports, transport)
+	return transport
 }
 
 // buildState makes what reads and writes the platform.
-func (i *Instance) buildState(bus peers.Bus) {
-	client := &http.Client{Transport: i.transport()}
-	i.platform = httpplatform.New(client, i.cfg.PlatformURL.Value.String(), 0)
+func (i *Instance) buildState(bus peers.Bus) error {
+	transport, err := i.clientTransport(i.cfg.PlatformTLS)
+	if err != nil {
+		return errors.Wrap(err, "certificates for the platform")
+	}
+	i.platform = httpplatform.New(&http.Client{Transport: transport}, i.cfg.PlatformURL.Value.String(), 0)
 	i.members = membership.New(i.platform, platform.Member{
 		ID:            i.cfg.Instance.Value,
 		Kind:          platform.MemberEntry,
@@ -97,6 +105,7 @@
 		Reads:         i.platform,
 		Log:           i.log,
 	})
+	return nil
 }
 
 // commitBudget is this instance's share of the fleet's commits.
@@ -120,12 +129,11 @@
 		Rand:     i.newRand(),
 		Logger:   i.log,
 	})
-	i.planner = cascade.NewPlanner(cascade.NewLearner(), cascade.NewBudget(fleetRatingsPerSecond))
+	i.admit = flowcontrol.New()
+	i.windows = newWindows(bus, i.data, i.admit)
+	i.planner = cascade.NewPlanner(cascade.NewLearner(), cascade.NewBudget(float64(i.cfg.RatingRate.Value)))
 }
 
-// fleetRatingsPerSecond is what the rating service takes from the whole fleet.
-const fleetRatingsPerSecond = 50.0
-
 func (i *Instance) buildGateway() error {
 	secret := sha256.Sum256(i.cfg.TokenSecret.Value)
 	keyring, err := session.NewKeyring(secret[:], i.cfg.SessionLifetime.Value)
@@ -133,7 +141,11 @@
 		return errors.Wrap(err, "session tokens")
 	}
 	i.life = newLifecycle(i.charts, i.syncer, i.log)
-	i.backend = backend.NewClient(i.transport(), "http", maxAnswerBytes)
+	transport, err := i.clientTransport(i.cfg.ServersTLS)
+	if err != nil {
+		return errors.Wrap(err, "certificates for the backend servers")
+	}
+	i.backend = backend.NewClient(transport, i.serverScheme(), maxAnswerBytes)
 	i.gateway = gateway.New(gateway.Options{
 		Data:          i.data,
 		Backend:       i.backend,
@@ -141,7 +153,7 @@
 		Tokens:        keyring,
 		Versions:      i.rollouts,
 		Planner:       i.planner,
-		Admission:     openAdmission{},
+		Admission:     i.admit,
 		Suspects:      suspectTracker{Quarantine: i.suspects},
 		Retries:       retry.New(i.newRand()),
 		Servers:       serverReports{},
@@ -154,11 +166,22 @@
 		Tracer:        i.opts.Tracer,
 		Rand:          i.newRand(),
 		StreamTime:    i.cfg.StreamTime.Value,
+		WriteTimeout:  i.cfg.WriteTimeout.Value,
+		Connections:   i.cfg.ConnectionsPerAccount.Value,
+		BodyBytes:     i.cfg.BodyBytes.Value,
 		FailureDomain: i.cfg.FailureDomain.Value,
 	})
 	return nil
 }
 
+// serverScheme is https where certificates for the backend servers are given.
+func (i *Instance) serverScheme() string {
+	if i.cfg.ServersTLS.CA.Value == "" {
+		return "http"
+	}
+	return "https"
+}
+
 func (i *Instance) ratingURL() string {
 	if i.cfg.RatingURL.Value == nil {
 		return ""
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -6,11 +6,12 @@
 	"net/http"
 	"time"
 
-	"github.com/go-chi/chi/v5"
-	"github.com/pkg/errors"
-
+	"github.com/basilrail/basilrail/internal/admin"
 	"github.com/basilrail/basilrail/internal/events"
 	"github.com/basilrail/basilrail/internal/statechart"
+	"github.com/basilrail/basilrail/internal/staticconfig"
+	"github.com/basilrail/basilrail/internal/tlsreload"
+	"github.com/go-chi/chi/v5"
 )
 
 const (
@@ -24,6 +25,7 @@
 // every request in flight, hands over its bills and returns.
 func (i *Instance) Run(ctx context.Context) error {
 	work, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer i.closeConnections()
 	defer i.loops.Wait()
 	defer stop()
 	if err := i.open(work); err != nil {
@@ -31,24 +33,44 @@
 	}
 	i.startLoops(work)
 	i.log.Log(events.ProcessStarted, events.Fields{})
-	<-ctx.Done()
-	i.leave(work)
+	select {
+	case <-ctx.Done():
+		i.leave(work)
+	case <-i.aborted:
+		i.closeServers()
+	}
 	return nil
 }
 
+// abort ends Run without a graceful shutdown, as the death of the process would.
+func (i *Instance) abort() { close(i.aborted) }
+
+// closeConnections closes the idle connections to the platform and the servers.
+func (i *Instance) closeConnections() {
+	for _, transport := range i.transports {
+		transport.CloseIdleConnections()
+	}
+}
+
 // open starts the listeners.
 func (i *Instance) open(ctx context.Context) error {
 	operators := chi.NewRouter()
 	i.mountHealth(operators)
+	operators.Mount("/", admin.New(admin.Options{
+		Settings:           i.syncer,
+		Log:                i.log,
+		BootstrapKeySHA256: i.cfg.BootstrapKeySHA256.Value,
+	}))
 	listeners := []struct {
 		address string
+		files   tlsreload.Files
 		handler http.Handler
 	}{
-		{i.cfg.ListenOperators.Value.String(), operators},
-		{i.cfg.ListenCallers.Value.String(), i.gateway.Handler()},
+		{i.cfg.ListenOperators.Value.String(), serverFiles(i.cfg.OperatorsTLS), operators},
+		{i.cfg.ListenCallers.Value.String(), serverFiles(i.cfg.CallersTLS), i.gateway.Handler()},
 	}
 	for _, l := range listeners {
-		if err := i.serve(ctx, l.address, l.handler); err != nil {
+		if err := i.serve(ctx, l.address, l.files, l.handler); err != nil {
 			i.closeServers()
 			return err
 		}
@@ -56,10 +78,14 @@
 	return nil
 }
 
-func (i *Instance) serve(ctx context.Context, address string, handler http.Handler) error {
-	listener, err := i.opts.Listen(address)
+func serverFiles(c staticconfig.ServerTLS) tlsreload.Files {
+	return tlsreload.Files{Cert: c.Cert.Value, Key: c.Key.Value}
+}
+
+func (i *Instance) serve(ctx context.Context, address string, files tlsreload.Files, handler http.Handler) error {
+	listener, err := i.listen(address, files)
 	if err != nil {
-		return errors.Wrapf(err, "listen on %s", address)
+		return err
 	}
 	server := &http.Server{
 		Handler:           handler,
@@ -94,6 +120,7 @@
 	i.goLoop(ctx, i.suspects.Run)
 	i.goLoop(ctx, i.rollouts.Run)
 	i.goLoop(ctx, i.watchServers)
+	i.goLoop(ctx, i.windows.Run)
 	i.goLoop(ctx, func(ctx context.Context) { every(ctx, observeInterval, i.life.observe) })
 }
 
