--- a/Makefile
+++ b/Makefile
@@ -29,4 +29,4 @@
 	$(GO) run ./internal/statechart/gen -check
 
 measure:
-	$(GO) run ./cmd/basilrail-measure
+	scripts/measure.sh
--- a/internal/entry/build.go
+++ b/internal/entry/build.go
@@ -17,6 +17,7 @@
 	"github.com/basilrail/basilrail/internal/flowcontrol"
 	"github.com/basilrail/basilrail/internal/gateway"
 	"github.com/basilrail/basilrail/internal/membership"
+	"github.com/basilrail/basilrail/internal/orders"
 	"github.com/basilrail/basilrail/internal/peers"
 	"github.com/basilrail/basilrail/internal/peers/membus"
 	"github.com/basilrail/basilrail/internal/platform"
@@ -130,6 +131,15 @@
 		Rand:   i.newRand(),
 		Logger: i.log,
 	})
+	i.orders = orders.New(orders.Options{
+		Table:     i.platform,
+		Store:     i.data,
+		Client:    &http.Client{Transport: i.transport()},
+		Self:      i.cfg.Instance.Value,
+		FleetSize: func() int { return i.members.View().EntryCount() },
+		Rand:      i.newRand(),
+		Logger:    i.log,
+	})
 	i.members.OnChange(func(v *membership.View) { i.watcher.SetMembers(v.Servers) })
 	i.explain = explain.New(bus, i.opts.Tracing.Recorder(), i.cfg.ExplainRecords.Value)
 	i.suspects = quarantine.New(quarantine.Options{Bus: bus, Table: i.platform, Rand: i.newRand(), Logger: i.log})
@@ -144,6 +154,7 @@
 	i.admit = flowcontrol.New()
 	i.windows = newWindows(bus, i.data, i.admit)
 	i.planner = cascade.NewPlanner(cascade.NewLearner(), cascade.NewBudget(float64(i.cfg.RatingRate.Value)))
+	i.learning = newLearning(bus, i.planner, i.cfg.RatingRate.Value)
 }
 
 func (i *Instance) buildGateway() error {
--- a/internal/entry/instance.go
+++ b/internal/entry/instance.go
@@ -22,6 +22,7 @@
 	"github.com/basilrail/basilrail/internal/flowcontrol"
 	"github.com/basilrail/basilrail/internal/gateway"
 	"github.com/basilrail/basilrail/internal/membership"
+	"github.com/basilrail/basilrail/internal/orders"
 	"github.com/basilrail/basilrail/internal/platform/groupcommit"
 	"github.com/basilrail/basilrail/internal/platform/httpplatform"
 	"github.com/basilrail/basilrail/internal/quarantine"
@@ -66,6 +67,8 @@
 	admit    *flowcontrol.Controller
 	windows  *windows
 	watcher  *serverwatch.Watcher
+	orders   *orders.Giver
+	learning *learning
 	explain  *explain.Store
 	backend  *backend.Client
 	gateway  *gateway.Gateway
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -125,6 +125,8 @@
 	i.goLoop(ctx, i.rollouts.Run)
 	i.goLoop(ctx, i.watcher.Run)
 	i.goLoop(ctx, i.windows.Run)
+	i.goLoop(ctx, i.orders.Run)
+	i.goLoop(ctx, i.learning.Run)
 	i.goLoop(ctx, func(ctx context.Context) { every(ctx, observeInterval, i.life.observe) })
 }
 
--- a/internal/measure/path.go
+++ b/internal/measure/path.go
@@ -18,16 +18,13 @@
 // PathConfig says where the processes of the overhead and throughput measures
 // run; the zero value skips both. scripts/measure.sh starts them.
 type PathConfig struct {
-	// EntryURL, RelayURL and EngineURL are base URLs.
-	EntryURL  string
-	RelayURL  string
-	EngineURL string
-	// EntryPID and RelayPID are the processes whose processor time is read.
-	EntryPID int
-	RelayPID int
-	// Key is a caller's key, and Model the version that the engine serves.
-	Key   string
-	Model string
+	EntryURL  string `help:"Base URL of an entry instance; a URL."`
+	RelayURL  string `help:"Base URL of the bare relay; a URL."`
+	EngineURL string `help:"Base URL of the engine; a URL."`
+	EntryPID  int    `name:"entry-pid" help:"Process whose processor time is read; a number."`
+	RelayPID  int    `name:"relay-pid" help:"Process whose processor time is read; a number."`
+	Key       string `help:"A caller's key; text." default:"demo-measure-caller"`
+	Model     string `help:"Version that the engine serves, model@version." default:"fast@v1"`
 }
 
 // Path is set by the command line before Run.
--- a/internal/peers/bus.go
+++ b/internal/peers/bus.go
@@ -34,6 +34,8 @@
 	KindExplain
 	// KindSuspectSlot asks for, holds or gives back a server's slot for suspect content.
 	KindSuspectSlot
+	// KindRatings carries rated answers by client account, task and version.
+	KindRatings
 )
 
 // Message is one received message.
