--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -7,7 +7,9 @@
 	"fmt"
 	"io"
 	"net"
+	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 	"time"
 
@@ -26,6 +28,10 @@
 	exitUsage  = 2
 )
 
+// gcPercent lets the heap grow further than by default before a collection: an
+// instance holds little between requests and allocates much for each.
+const gcPercent = 400
+
 // traceTimeout bounds the sending of the last spans.
 const traceTimeout = 2 * time.Second
 
@@ -42,6 +48,9 @@
 	if cfg.Check.Value {
 		return exitOK
 	}
+	if os.Getenv("GOGC") == "" {
+		debug.SetGCPercent(gcPercent)
+	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	if err := run(ctx, cfg, out); err != nil {
--- a/internal/gateway/chat.go
+++ b/internal/gateway/chat.go
@@ -374,7 +374,7 @@
 func (c *chat) deliver(ctx context.Context, step cascade.Step, a *answer) *apierror.Error {
 	c.pin(a.version)
 	c.settle(ctx, a.placement, a.usage, a.cost)
-	c.sample(ctx, step, a.version, textOf(a.choices))
+	c.sample(ctx, step, a.version, a.choices)
 	if c.req.stream {
 		return c.deliverEvents(a)
 	}
--- a/internal/gateway/judge.go
+++ b/internal/gateway/judge.go
@@ -60,10 +60,11 @@
 
 // sample rates an answer that the caller already has, to learn from it. The
 // request does not wait for it; the shutdown does.
-func (c *chat) sample(ctx context.Context, step cascade.Step, ref settings.VersionRef, text string) {
+func (c *chat) sample(ctx context.Context, step cascade.Step, ref settings.VersionRef, choices []json.RawMessage) {
 	if !step.Sample && !c.gateway.Versions.MustRate(c.view.ID, ref) {
 		return
 	}
+	text := textOf(choices)
 	c.gateway.inFlight.Go(func() {
 		ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), sampleTimeout)
 		defer cancel()
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -213,7 +213,7 @@
 	usage := l.usage()
 	l.c.gateway.Planner.Finished(l.work.version, time.Since(l.placement.started))
 	l.c.settle(ctx, l.placement, usage, l.c.costOf(l.work.version, usage))
-	l.c.sample(ctx, step, l.work.version, textOf(l.choices))
+	l.c.sample(ctx, step, l.work.version, l.choices)
 	return l.c.endEvents(l.out, l.work.version, l.closing, usage)
 }
 
--- a/internal/session/session.go
+++ b/internal/session/session.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/golang-jwt/jwt/v5"
+	lru "github.com/hashicorp/golang-lru/v2"
 	"github.com/pkg/errors"
 
 	"github.com/basilrail/basilrail/internal/settings"
@@ -30,6 +31,7 @@
 	DefaultLifetime = 24 * time.Hour
 
 	secretBytes  = 32
+	keptSecrets  = 16
 	clockLeeway  = 30 * time.Second
 	keyIDHeader  = "kid"
 	derivePrefix = "basilrail session token key "
@@ -72,6 +74,8 @@
 type Keyring struct {
 	master   []byte
 	lifetime time.Duration
+	// secrets keeps derived secrets; forged key ids can push out no more than it holds.
+	secrets *lru.Cache[string, []byte]
 }
 
 // NewKeyring makes a keyring from the master secret, which all entry instances
@@ -83,7 +87,11 @@
 	if lifetime <= 0 {
 		lifetime = DefaultLifetime
 	}
-	return &Keyring{master: append([]byte(nil), master...), lifetime: lifetime}, nil
+	secrets, err := lru.New[string, []byte](keptSecrets)
+	if err != nil {
+		return nil, errors.Wrap(err, "keep derived secrets")
+	}
+	return &Keyring{master: append([]byte(nil), master...), lifetime: lifetime, secrets: secrets}, nil
 }
 
 // Issue signs a session with the first of the keys. IssuedAt is set to now.
@@ -176,8 +184,15 @@
 }
 
 func (k *Keyring) secret(keyID string) ([]byte, error) {
+	if secret, ok := k.secrets.Get(keyID); ok {
+		return secret, nil
+	}
 	secret, err := hkdf.Key(sha256.New, k.master, nil, derivePrefix+keyID, secretBytes)
-	return secret, errors.Wrap(err, "derive session token key")
+	if err != nil {
+		return nil, errors.Wrap(err, "derive session token key")
+	}
+	k.secrets.Add(keyID, secret)
+	return secret, nil
 }
 
 func listed(keys []settings.TokenKey, id string) bool {
