Join the entry instances in an authenticated mesh

WebSocket connections with CBOR frames carry the bus. Both ends prove a shared secret over each other's nonces before any other frame is read; queues are bounded, frames versioned and limited to 1 MiB. Up to 9 instances are fully connected; in a larger fleet four hashed rings give each at most 8 neighbours, rare messages are relayed and counted once, and a request to any other instance opens a connection of its own.

Ruled out: the first test of a restarted instance passed without the replacement of links, because closing the old process ended its link; the process is frozen now, and the message is one that is not relayed.

--- a/internal/events/peers.go
+++ b/internal/events/peers.go
@@ -13,4 +13,18 @@
 		Number: 4002, Name: "membership_restored", Level: logrus.InfoLevel,
 		Message: "the membership list can be read again",
 	})
+	PeerConnected = register(Event{
+		Number: 4101, Name: "peer_connected", Level: logrus.InfoLevel,
+		Message: "a link to a peer stands",
+	})
+	PeerDisconnected = register(Event{
+		Number: 4102, Name: "peer_disconnected", Level: logrus.WarnLevel,
+		Message: "a link to a peer ended",
+		Action:  "Nothing if the peer left. Otherwise check the network between the failure domains.",
+	})
+	PeerRejected = register(Event{
+		Number: 4103, Name: "peer_rejected", Level: logrus.WarnLevel,
+		Message: "a connection to the peer listener was refused",
+		Action:  "Check that all instances have the same peer secret and run versions that understand each other.",
+	})
 )
--- /dev/null
+++ b/internal/peers/mesh/handshake.go
@@ -0,0 +1,157 @@
+package mesh
+
+import (
+	"context"
+	"crypto/hmac"
+	"crypto/rand"
+	"crypto/sha256"
+	"encoding/binary"
+	"time"
+
+	"github.com/coder/websocket"
+	"github.com/fxamacker/cbor/v2"
+	"github.com/pkg/errors"
+)
+
+const (
+	// handshakeTimeout bounds the frames that authenticate both ends.
+	handshakeTimeout = 2 * time.Second
+	// handshakeBytes bounds a frame before the peer is authenticated.
+	handshakeBytes = 4 << 10
+	nonceBytes     = 32
+)
+
+// errUnauthenticated means that the peer does not hold the shared secret.
+var errUnauthenticated = errors.New("peer did not prove the shared secret")
+
+// identity tells one process from another.
+type identity struct {
+	ID          string `cbor:"1,keyasint"`
+	Incarnation string `cbor:"2,keyasint"`
+}
+
+// hello is the dialer's first frame.
+type hello struct {
+	Version uint8    `cbor:"1,keyasint"`
+	From    identity `cbor:"2,keyasint"`
+	Nonce   []byte   `cbor:"3,keyasint"`
+	// Transient connections carry one request and are no link of the mesh.
+	Transient bool `cbor:"4,keyasint"`
+}
+
+// welcome is the acceptor's answer and proof.
+type welcome struct {
+	Version uint8    `cbor:"1,keyasint"`
+	From    identity `cbor:"2,keyasint"`
+	Nonce   []byte   `cbor:"3,keyasint"`
+	MAC     []byte   `cbor:"4,keyasint"`
+}
+
+// proof is the dialer's proof.
+type proof struct {
+	MAC []byte `cbor:"1,keyasint"`
+}
+
+// mac binds a role to everything that both ends said.
+func mac(secret []byte, role string, h hello, w welcome) []byte {
+	sum := hmac.New(sha256.New, secret)
+	transient := []byte{0}
+	if h.Transient {
+		transient[0] = 1
+	}
+	fields := [][]byte{
+		[]byte(role),
+		{h.Version, w.Version},
+		transient, h.Nonce, w.Nonce,
+		[]byte(h.From.ID), []byte(h.From.Incarnation), []byte(w.From.ID), []byte(w.From.Incarnation),
+	}
+	for _, field := range fields {
+		var length [4]byte
+		binary.BigEndian.PutUint32(length[:], uint32(len(field)))
+		sum.Write(length[:])
+		sum.Write(field)
+	}
+	return sum.Sum(nil)
+}
+
+const (
+	roleAcceptor = "acceptor"
+	roleDialer   = "dialer"
+)
+
+func nonce() []byte {
+	b := make([]byte, nonceBytes)
+	_, _ = rand.Read(b) // never fails
+	return b
+}
+
+// greet runs the dialer's side and returns who answered.
+func greet(ctx context.Context, conn *websocket.Conn, secret []byte, self identity, transient bool) (identity, error) {
+	ctx, cancel := context.WithTimeout(ctx, handshakeTimeout)
+	defer cancel()
+	conn.SetReadLimit(handshakeBytes)
+	h := hello{Version: protocolVersion, From: self, Nonce: nonce(), Transient: transient}
+	if err := write(ctx, conn, h); err != nil {
+		return identity{}, err
+	}
+	var w welcome
+	if err := read(ctx, conn, &w); err != nil {
+		return identity{}, err
+	}
+	if w.Version != protocolVersion {
+		return identity{}, errVersion
+	}
+	if len(w.Nonce) != nonceBytes || !hmac.Equal(w.MAC, mac(secret, roleAcceptor, h, w)) {
+		return identity{}, errUnauthenticated
+	}
+	return w.From, write(ctx, conn, proof{MAC: mac(secret, roleDialer, h, w)})
+}
+
+// receive runs the acceptor's side and returns who dialed.
+func receive(ctx context.Context, conn *websocket.Conn, secret []byte, self identity) (hello, error) {
+	ctx, cancel := context.WithTimeout(ctx, handshakeTimeout)
+	defer cancel()
+	conn.SetReadLimit(handshakeBytes)
+	var h hello
+	if err := read(ctx, conn, &h); err != nil {
+		return h, err
+	}
+	if h.Version != protocolVersion {
+		return h, errVersion
+	}
+	if len(h.Nonce) != nonceBytes || h.From.ID == "" || len(h.From.ID) > maxNameBytes {
+		return h, errFrame
+	}
+	w := welcome{Version: protocolVersion, From: self, Nonce: nonce()}
+	w.MAC = mac(secret, roleAcceptor, h, w)
+	if err := write(ctx, conn, w); err != nil {
+		return h, err
+	}
+	var p proof
+	if err := read(ctx, conn, &p); err != nil {
+		return h, err
+	}
+	if !hmac.Equal(p.MAC, mac(secret, roleDialer, h, w)) {
+		return h, errUnauthenticated
+	}
+	return h, nil
+}
+
+func write(ctx context.Context, conn *websocket.Conn, v any) error {
+	encoded, err := cbor.Marshal(v)
+	if err != nil {
+		return errors.Wrap(err, "encode handshake")
+	}
+	return conn.Write(ctx, websocket.MessageBinary, encoded)
+}
+
+func read(ctx context.Context, conn *websocket.Conn, v any) error {
+	_, encoded, err := conn.Read(ctx)
+	if err != nil {
+		return err
+	}
+	if err := decoding.Unmarshal(encoded, v); err != nil {
+		return errors.Wrap(errFrame, err.Error())
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/peers/mesh/link.go
@@ -0,0 +1,245 @@
+package mesh
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/coder/websocket"
+	"github.com/fxamacker/cbor/v2"
+	"github.com/pkg/errors"
+
+	"github.com/basilrail/basilrail/internal/peers"
+)
+
+const (
+	// keepaliveInterval is the longest silence that a link keeps.
+	keepaliveInterval = time.Second
+	// silenceLimit is the silence after which the peer counts as gone.
+	silenceLimit = 3500 * time.Millisecond
+	// writeTimeout bounds the write of one frame.
+	writeTimeout = 3 * time.Second
+	// maxRequestsAtOnce bounds the requests of one peer that are handled in parallel.
+	maxRequestsAtOnce = 32
+)
+
+// ErrNotConnected is returned by a Request whose peer can't be reached.
+var ErrNotConnected = errors.New("peer not connected")
+
+// link is one authenticated connection.
+type link struct {
+	mesh *Mesh
+	conn *websocket.Conn
+	peer identity
+	// dialed tells that this instance opened the connection.
+	dialed bool
+	queue  *queue
+	heard  atomic.Int64
+	slots  chan struct{}
+	closed chan struct{}
+	once   sync.Once
+
+	mu       sync.Mutex
+	sequence uint64
+	waiting  map[uint64]chan envelope
+}
+
+func newLink(m *Mesh, conn *websocket.Conn, peer identity, dialed bool) *link {
+	conn.SetReadLimit(MaxMessageBytes)
+	l := &link{
+		mesh: m, conn: conn, peer: peer, dialed: dialed,
+		queue:   newQueue(),
+		slots:   make(chan struct{}, maxRequestsAtOnce),
+		closed:  make(chan struct{}),
+		waiting: make(map[uint64]chan envelope),
+	}
+	l.heard.Store(time.Now().UnixNano())
+	return l
+}
+
+// run carries frames both ways until the link ends.
+func (l *link) run(ctx context.Context) {
+	ctx, cancel := context.WithCancel(ctx)
+	var loops sync.WaitGroup
+	loops.Go(func() {
+		defer l.close()
+		l.writeLoop(ctx)
+	})
+	l.readLoop(ctx)
+	l.close()
+	cancel()
+	loops.Wait()
+}
+
+func (l *link) close() {
+	l.once.Do(func() {
+		close(l.closed)
+		_ = l.conn.CloseNow()
+	})
+}
+
+func (l *link) writeLoop(ctx context.Context) {
+	ticker := time.NewTicker(keepaliveInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-l.closed:
+			return
+		case <-l.queue.wake:
+		case <-ticker.C:
+			if l.silence() > silenceLimit {
+				return
+			}
+			l.keepalive()
+		}
+		if l.drain(ctx) != nil {
+			return
+		}
+	}
+}
+
+func (l *link) silence() time.Duration {
+	return time.Since(time.Unix(0, l.heard.Load()))
+}
+
+func (l *link) keepalive() {
+	if frame, err := encodeEnvelope(envelope{Type: frameKeepalive}); err == nil {
+		l.queue.push(outgoing{frame: frame})
+	}
+}
+
+func (l *link) drain(ctx context.Context) error {
+	for {
+		o, ok := l.queue.pop()
+		if !ok {
+			return nil
+		}
+		writing, cancel := context.WithTimeout(ctx, writeTimeout)
+		err := l.conn.Write(writing, websocket.MessageBinary, o.frame)
+		cancel()
+		if err != nil {
+			return err
+		}
+		l.mesh.counters.sent(o.kind, len(o.frame))
+	}
+}
+
+// send queues a frame; a full queue drops and counts it.
+func (l *link) send(o outgoing) bool {
+	if l.queue.push(o) {
+		return true
+	}
+	l.mesh.counters.dropped.Add(1)
+	return false
+}
+
+func (l *link) readLoop(ctx context.Context) {
+	for {
+		_, frame, err := l.conn.Read(ctx)
+		if err != nil {
+			return
+		}
+		l.heard.Store(time.Now().UnixNano())
+		e, err := decodeEnvelope(frame)
+		if err != nil {
+			l.mesh.counters.rejected.Add(1)
+			continue
+		}
+		l.mesh.counters.received(e.Kind, len(frame))
+		l.dispatch(ctx, e)
+	}
+}
+
+func (l *link) dispatch(ctx context.Context, e envelope) {
+	switch e.Type {
+	case frameBroadcast:
+		l.mesh.receiveBroadcast(l, e)
+	case frameRequest:
+		l.serve(ctx, e)
+	case frameReply:
+		l.deliver(e)
+	}
+}
+
+// serve handles a request beside the reading of frames.
+func (l *link) serve(ctx context.Context, e envelope) {
+	select {
+	case l.slots <- struct{}{}:
+	default:
+		l.reply(e, nil, errors.New("too many requests at once"))
+		return
+	}
+	go func() {
+		defer func() { <-l.slots }()
+		answer, err := l.mesh.handle(ctx, peers.Message{Kind: e.Kind, From: l.peer.ID, Body: e.Body})
+		l.reply(e, answer, err)
+	}()
+}
+
+func (l *link) reply(request envelope, answer any, err error) {
+	r := envelope{Type: frameReply, Kind: request.Kind, Sequence: request.Sequence}
+	if err == nil {
+		r.Body, err = cbor.Marshal(answer)
+	}
+	frame, tooLarge := encodeEnvelope(r)
+	if err == nil {
+		err = tooLarge
+	}
+	if err != nil {
+		r.Body = nil
+		r.Error = truncate(err.Error(), maxErrorBytes)
+		frame, _ = encodeEnvelope(r)
+	}
+	l.send(outgoing{kind: r.Kind, frame: frame})
+}
+
+func truncate(s string, limit int) string { return s[:min(len(s), limit)] }
+
+func (l *link) deliver(e envelope) {
+	l.mu.Lock()
+	waiting := l.waiting[e.Sequence]
+	delete(l.waiting, e.Sequence)
+	l.mu.Unlock()
+	if waiting != nil {
+		waiting <- e
+	}
+}
+
+// request sends a request and waits for its reply.
+func (l *link) request(ctx context.Context, kind peers.Kind, body []byte) (envelope, error) {
+	sequence, answer := l.expect()
+	defer l.forget(sequence)
+	frame, err := encodeEnvelope(envelope{Type: frameRequest, Kind: kind, Sequence: sequence, Body: body})
+	if err != nil {
+		return envelope{}, err
+	}
+	if !l.send(outgoing{kind: kind, frame: frame}) {
+		return envelope{}, errors.New("queue to peer is full")
+	}
+	select {
+	case e := <-answer:
+		return e, nil
+	case <-l.closed:
+		return envelope{}, ErrNotConnected
+	case <-ctx.Done():
+		return envelope{}, ctx.Err()
+	}
+}
+
+func (l *link) expect() (uint64, chan envelope) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.sequence++
+	answer := make(chan envelope, 1)
+	l.waiting[l.sequence] = answer
+	return l.sequence, answer
+}
+
+func (l *link) forget(sequence uint64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	delete(l.waiting, sequence)
+}
--- /dev/null
+++ b/internal/peers/mesh/mesh.go
@@ -0,0 +1,283 @@
+// Package mesh is the bus between entry instances over WebSocket connections
+// with CBOR frames. A small fleet is fully connected; in a larger one each
+// instance keeps a fixed number of neighbours and rare messages are relayed.
+// Both ends of a connection prove a shared secret before anything else is read.
+package mesh
+
+import (
+	"context"
+	"crypto/tls"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/coder/websocket"
+	"github.com/fxamacker/cbor/v2"
+	"github.com/google/uuid"
+	"github.com/pkg/errors"
+
+	"github.com/basilrail/basilrail/internal/events"
+	"github.com/basilrail/basilrail/internal/peers"
+)
+
+const (
+	// Path is where Handler is served on the peer listener.
+	Path = "/peers"
+	// maxAccepting bounds the connections that are not authenticated yet.
+	maxAccepting = 64
+	// maxLinks bounds the links of an instance, accepted ones included.
+	maxLinks = 64
+	// maxDelivering bounds the broadcasts that wait for their handlers.
+	maxDelivering = 1024
+)
+
+// Config is what a Mesh works with.
+type Config struct {
+	Self string
+	// Secret is shared by all instances of the fleet.
+	Secret []byte
+	// Dial opens a connection; nil means TCP.
+	Dial func(ctx context.Context, network, address string) (net.Conn, error)
+	// TLS, if set, is used by the dialer; the listener brings its own.
+	TLS  *tls.Config
+	Rand *rand.Rand
+	Log  *events.Logger
+}
+
+// Mesh implements peers.Bus.
+type Mesh struct {
+	cfg        Config
+	self       identity
+	client     *http.Client
+	scheme     string
+	counters   counters
+	seen       *seen
+	sequence   atomic.Uint64
+	accepting  chan struct{}
+	deliveries chan peers.Message
+	changed    chan struct{}
+
+	mu       sync.Mutex
+	handlers map[peers.Kind]peers.Handler
+	others   []peers.Peer
+	links    map[string]*link
+	dials    map[string]*dialState
+	ctx      context.Context
+}
+
+var _ peers.Bus = (*Mesh)(nil)
+
+// New makes a mesh without peers; SetPeers tells it of them and Run connects.
+func New(cfg Config) *Mesh {
+	m := &Mesh{
+		cfg:        cfg,
+		self:       identity{ID: cfg.Self, Incarnation: uuid.NewString()[:8]},
+		scheme:     "ws",
+		seen:       newSeen(),
+		accepting:  make(chan struct{}, maxAccepting),
+		deliveries: make(chan peers.Message, maxDelivering),
+		changed:    make(chan struct{}, 1),
+		handlers:   make(map[peers.Kind]peers.Handler),
+		links:      make(map[string]*link),
+		dials:      make(map[string]*dialState),
+	}
+	if cfg.TLS != nil {
+		m.scheme = "wss"
+	}
+	m.client = &http.Client{Transport: &http.Transport{DialContext: cfg.Dial, TLSClientConfig: cfg.TLS}}
+	// Sequences of a restarted instance go on above its earlier ones.
+	m.sequence.Store(uint64(time.Now().UnixNano()))
+	return m
+}
+
+// Self is this instance's id.
+func (m *Mesh) Self() string { return m.self.ID }
+
+// Handle registers the handler of a kind.
+func (m *Mesh) Handle(kind peers.Kind, h peers.Handler) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.handlers[kind] = h
+}
+
+// SetPeers replaces the list of the other instances. It does not block.
+func (m *Mesh) SetPeers(others []peers.Peer) {
+	m.mu.Lock()
+	m.others = others
+	m.mu.Unlock()
+	select {
+	case m.changed <- struct{}{}:
+	default:
+	}
+}
+
+// Peers lists the listed instances and whether a link to each stands.
+func (m *Mesh) Peers() []peers.Peer {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	list := make([]peers.Peer, len(m.others))
+	copy(list, m.others)
+	for i := range list {
+		_, list[i].Connected = m.links[list[i].ID]
+	}
+	return list
+}
+
+// Broadcast sends to every instance at best effort.
+func (m *Mesh) Broadcast(kind peers.Kind, body any) {
+	encoded, err := cbor.Marshal(body)
+	if err != nil {
+		m.counters.rejected.Add(1)
+		return
+	}
+	e := envelope{Type: frameBroadcast, Kind: kind, Origin: m.self.ID, Sequence: m.sequence.Add(1), Body: encoded}
+	m.relay(e, "", "")
+}
+
+// relay sends a broadcast to the links, those of two instances left out.
+func (m *Mesh) relay(e envelope, from, origin string) {
+	links, fullMesh := m.fanOut()
+	if e.Origin == m.self.ID {
+		e.Hops = hops(e.Kind, fullMesh)
+	}
+	e.Hops--
+	frame, err := encodeEnvelope(e)
+	if err != nil {
+		m.counters.rejected.Add(1)
+		return
+	}
+	for _, l := range links {
+		if l.peer.ID != from && l.peer.ID != origin {
+			l.send(outgoing{kind: e.Kind, frame: frame})
+		}
+	}
+}
+
+func (m *Mesh) fanOut() ([]*link, bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	links := make([]*link, 0, len(m.links))
+	for _, l := range m.links {
+		links = append(links, l)
+	}
+	return links, len(m.others) < fullMeshInstances
+}
+
+// receiveBroadcast delivers and relays a broadcast the first time it arrives.
+func (m *Mesh) receiveBroadcast(from *link, e envelope) {
+	if e.Origin == m.self.ID || !m.seen.first(broadcastID{e.Origin, e.Sequence}) {
+		m.counters.repeated.Add(1)
+		return
+	}
+	select {
+	case m.deliveries <- peers.Message{Kind: e.Kind, From: e.Origin, Body: e.Body}:
+	default:
+		m.counters.dropped.Add(1)
+	}
+	if e.Hops > 0 {
+		m.relay(e, from.peer.ID, e.Origin)
+	}
+}
+
+// deliverLoop calls the handlers of broadcasts, so that a slow one does not
+// stop the reading of frames.
+func (m *Mesh) deliverLoop(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case msg := <-m.deliveries:
+			_, _ = m.handle(ctx, msg)
+		}
+	}
+}
+
+func (m *Mesh) handle(ctx context.Context, msg peers.Message) (any, error) {
+	m.mu.Lock()
+	h := m.handlers[msg.Kind]
+	m.mu.Unlock()
+	if h == nil {
+		return nil, errors.Errorf("no handler for message kind %d", msg.Kind)
+	}
+	return h(ctx, msg)
+}
+
+// Request sends to one peer and decodes its reply. A peer that is no neighbour
+// is reached by a connection for this request alone.
+func (m *Mesh) Request(ctx context.Context, peer string, kind peers.Kind, body, reply any) error {
+	encoded, err := cbor.Marshal(body)
+	if err != nil {
+		return errors.Wrap(err, "encode message")
+	}
+	answer, err := m.requestRaw(ctx, peer, kind, encoded)
+	if err != nil {
+		return err
+	}
+	if answer.Error != "" {
+		return errors.New(answer.Error)
+	}
+	if reply == nil {
+		return nil
+	}
+	return errors.Wrap(cbor.Unmarshal(answer.Body, reply), "decode reply")
+}
+
+func (m *Mesh) requestRaw(ctx context.Context, peer string, kind peers.Kind, body []byte) (envelope, error) {
+	m.mu.Lock()
+	l := m.links[peer]
+	m.mu.Unlock()
+	if l != nil {
+		return l.request(ctx, kind, body)
+	}
+	return m.requestOnce(ctx, peer, kind, body)
+}
+
+func (m *Mesh) requestOnce(ctx context.Context, peer string, kind peers.Kind, body []byte) (envelope, error) {
+	target, ok := m.listed(peer)
+	if !ok {
+		return envelope{}, ErrNotConnected
+	}
+	l, err := m.connect(ctx, target, true)
+	if err != nil {
+		return envelope{}, errors.Wrap(ErrNotConnected, err.Error())
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	go l.run(ctx)
+	defer l.close()
+	return l.request(ctx, kind, body)
+}
+
+func (m *Mesh) listed(id string) (peers.Peer, bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, p := range m.others {
+		if p.ID == id {
+			return p, true
+		}
+	}
+	return peers.Peer{}, false
+}
+
+// connect dials a peer and authenticates both ends.
+func (m *Mesh) connect(ctx context.Context, target peers.Peer, transient bool) (*link, error) {
+	dialing, cancel := context.WithTimeout(ctx, handshakeTimeout)
+	defer cancel()
+	conn, _, err := websocket.Dial(dialing, m.scheme+"://"+target.Address+Path, &websocket.DialOptions{HTTPClient: m.client})
+	if err != nil {
+		return nil, errors.Wrap(err, "dial peer")
+	}
+	answered, err := greet(ctx, conn, m.cfg.Secret, m.self, transient)
+	if err == nil && answered.ID != target.ID {
+		err = errors.Errorf("peer at %s is %s, not %s", target.Address, answered.ID, target.ID)
+	}
+	if err != nil {
+		_ = conn.CloseNow()
+		m.counters.rejected.Add(1)
+		return nil, err
+	}
+	return newLink(m, conn, answered, true), nil
+}
--- /dev/null
+++ b/internal/peers/mesh/mesh_test.go
@@ -0,0 +1,213 @@
+package mesh
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/stretchr/testify/require"
+
+	"github.com/basilrail/basilrail/internal/peers"
+)
+
+func TestFullMeshCarriesBroadcastsAndRequests(t *testing.T) {
+	run(t, 3, func(t *testing.T, f *testFleet) {
+		a, b := f.nodes[0], f.nodes[1]
+		for _, p := range a.Peers() {
+			require.True(t, p.Connected, p.ID)
+		}
+		a.Broadcast(peers.KindSettingsHint, "hello")
+		time.Sleep(time.Millisecond)
+		f.requireReceived(f.nodes[1:], 1)
+
+		var reply string
+		require.NoError(t, a.Request(t.Context(), b.Self(), peers.KindBill, "bill", &reply))
+		require.Equal(t, b.Self(), reply)
+		require.ErrorContains(t, a.Request(t.Context(), b.Self(), peers.KindBill, "fail", nil), "refused here")
+		require.ErrorContains(t, a.Request(t.Context(), b.Self(), peers.KindExplain, "x", nil), "no handler")
+		require.ErrorIs(t, a.Request(t.Context(), "nobody", peers.KindBill, "x", nil), ErrNotConnected)
+	})
+}
+
+func TestOnlyHoldersOfTheSecretAreHeard(t *testing.T) {
+	run(t, 2, func(t *testing.T, f *testFleet) {
+		stranger := f.start(7, "guess")
+		f.nodes = append(f.nodes, stranger)
+		f.list(f.nodes)
+		time.Sleep(time.Minute)
+		require.Zero(t, stranger.Stats().Links)
+		stranger.Broadcast(peers.KindSettingsHint, "hello")
+		f.nodes[0].Broadcast(peers.KindSettingsHint, "hello")
+		time.Sleep(time.Second)
+		f.requireReceived([]*node{f.nodes[0], stranger}, 0)
+		f.requireReceived(f.nodes[1:2], 1)
+		require.Positive(t, f.nodes[0].Stats().Rejected)
+		err := stranger.Request(t.Context(), f.nodes[0].Self(), peers.KindBill, "x", nil)
+		require.ErrorIs(t, err, ErrNotConnected)
+	})
+}
+
+func TestFrozenPeerSlowsNobodyAndIsNoticed(t *testing.T) {
+	run(t, 3, func(t *testing.T, f *testFleet) {
+		a, frozen, c := f.nodes[0], f.nodes[1], f.nodes[2]
+		frozen.listener.gate.shut()
+		body := make([]byte, 64<<10)
+		start := time.Now()
+		for range 100 {
+			a.Broadcast(peers.KindSettingsHint, body)
+			require.NoError(t, a.Request(t.Context(), c.Self(), peers.KindBill, "x", nil))
+		}
+		require.Zero(t, time.Since(start), "no call waited for the frozen peer")
+		require.Positive(t, a.Stats().Dropped, "what does not fit the queue is dropped")
+		require.Equal(t, 200, c.count())
+
+		time.Sleep(silenceLimit + 2*keepaliveInterval)
+		require.False(t, a.Peers()[0].Connected)
+		frozen.listener.gate.open()
+		time.Sleep(2 * maxRedial)
+		require.True(t, a.Peers()[0].Connected, "it is connected again once it is back")
+	})
+}
+
+// The earlier process is frozen, so its connections still look well when the
+// new one dials.
+func TestNewProcessReplacesTheLinkOfAFrozenOne(t *testing.T) {
+	run(t, 3, func(t *testing.T, f *testFleet) {
+		frozen := f.nodes[1]
+		frozen.listener.gate.shut()
+		f.nodes[1] = f.start(1, "secret")
+		f.list(f.nodes)
+		time.Sleep(higherWaits + connectInterval)          // before the silence is noticed
+		f.nodes[1].Broadcast(peers.KindHeartbeat, "hello") // is not relayed
+		time.Sleep(time.Millisecond)
+		f.requireReceived([]*node{f.nodes[0], f.nodes[2]}, 1)
+		frozen.listener.gate.open()
+		frozen.kill()
+	})
+}
+
+func TestLargeFleetRelaysOverABoundedDegree(t *testing.T) {
+	run(t, 40, func(t *testing.T, f *testFleet) {
+		for _, n := range f.nodes {
+			require.LessOrEqual(t, n.Stats().Links, 2*rings)
+		}
+		f.nodes[0].Broadcast(peers.KindSettingsHint, "hello")
+		time.Sleep(time.Second)
+		f.requireReceived(f.nodes[1:], 1)
+
+		var alive []*node
+		for i, n := range f.nodes {
+			if domainOf(i) == domainOf(1) {
+				n.kill()
+				continue
+			}
+			alive = append(alive, n)
+		}
+		time.Sleep(2 * silenceLimit) // the list has not changed yet
+		f.nodes[0].Broadcast(peers.KindSettingsHint, "hello")
+		time.Sleep(time.Second)
+		f.requireReceived(alive[1:], 2)
+
+		far := stranger(f.nodes[0], alive)
+		require.NoError(t, f.nodes[0].Request(t.Context(), far.Self(), peers.KindBill, "x", nil))
+		require.Equal(t, 3, far.count())
+	})
+}
+
+// stranger finds a node that is no neighbour of n.
+func stranger(n *node, nodes []*node) *node {
+	connected := make(map[string]bool)
+	for _, p := range n.Peers() {
+		connected[p.ID] = p.Connected
+	}
+	for _, other := range nodes {
+		if other != n && !connected[other.Self()] {
+			return other
+		}
+	}
+	return nil
+}
+
+func TestHeartbeatsStayWithTheNeighbours(t *testing.T) {
+	run(t, 20, func(t *testing.T, f *testFleet) {
+		f.nodes[0].Broadcast(peers.KindHeartbeat, "alive")
+		time.Sleep(time.Second)
+		total := 0
+		for _, n := range f.nodes {
+			total += n.count()
+		}
+		require.Equal(t, f.nodes[0].Stats().Links, total)
+	})
+}
+
+func TestSlowHandlerDoesNotStopTheLink(t *testing.T) {
+	run(t, 2, func(t *testing.T, f *testFleet) {
+		release := make(chan struct{})
+		f.nodes[1].Handle(peers.KindHeartbeat, func(context.Context, peers.Message) (any, error) {
+			<-release
+			return nil, nil
+		})
+		for range 2 * maxDelivering {
+			f.nodes[0].Broadcast(peers.KindHeartbeat, "x")
+			synctest.Wait()
+		}
+		require.NoError(t, f.nodes[0].Request(t.Context(), f.nodes[1].Self(), peers.KindBill, "x", nil))
+		require.Positive(t, f.nodes[1].Stats().Dropped)
+		close(release)
+	})
+}
+
+func TestEnvelopeLimits(t *testing.T) {
+	valid := envelope{Version: protocolVersion, Type: frameBroadcast, Kind: 1, Origin: "e1", Sequence: 1, Hops: 2, Body: []byte{1}}
+	tests := []struct {
+		desc   string
+		change func(e *envelope)
+		want   error
+	}{
+		{desc: "valid", change: func(*envelope) {}},
+		{desc: "other version", change: func(e *envelope) { e.Version = 2 }, want: errVersion},
+		{desc: "unknown type", change: func(e *envelope) { e.Type = 9 }, want: errFrame},
+		{desc: "too many hops", change: func(e *envelope) { e.Hops = maxHops + 1 }, want: errFrame},
+		{desc: "long origin", change: func(e *envelope) { e.Origin = string(make([]byte, maxNameBytes+1)) }, want: errFrame},
+		{desc: "too large", change: func(e *envelope) { e.Body = make([]byte, MaxMessageBytes) }, want: errFrame},
+	}
+	for _, test := range tests {
+		t.Run(test.desc, func(t *testing.T) {
+			e := valid
+			test.change(&e)
+			frame, err := cbor.Marshal(e)
+			require.NoError(t, err)
+			_, err = decodeEnvelope(frame)
+			require.ErrorIs(t, err, test.want)
+		})
+	}
+	_, err := encodeEnvelope(envelope{Type: frameBroadcast, Body: make([]byte, MaxMessageBytes)})
+	require.Error(t, err)
+}
+
+func FuzzDecodeEnvelope(f *testing.F) {
+	for _, e := range []envelope{
+		{Type: frameKeepalive},
+		{Type: frameBroadcast, Kind: peers.KindSuspect, Origin: "e1", Sequence: 7, Hops: 3, Body: []byte{0xa0}},
+		{Type: frameReply, Kind: peers.KindBill, Sequence: 1, Error: "refused"},
+	} {
+		frame, err := encodeEnvelope(e)
+		require.NoError(f, err)
+		f.Add(frame)
+	}
+	f.Add([]byte{0x89, 0x01})
+	f.Add([]byte{0x9f, 0xff})
+	f.Fuzz(func(t *testing.T, frame []byte) {
+		e, err := decodeEnvelope(frame)
+		if err != nil {
+			return
+		}
+		again, err := encodeEnvelope(e)
+		require.NoError(t, err)
+		same, err := decodeEnvelope(again)
+		require.NoError(t, err)
+		require.Equal(t, e, same)
+	})
+}
--- /dev/null
+++ b/internal/peers/mesh/stats.go
@@ -0,0 +1,92 @@
+package mesh
+
+import (
+	"expvar"
+	"sync/atomic"
+
+	"github.com/basilrail/basilrail/internal/peers"
+)
+
+// maxKinds bounds the kinds that are counted apart; kind 0 counts keepalives,
+// and kinds beyond are counted with it.
+const maxKinds = 32
+
+// Traffic is what was sent and received of one kind, frame headers included.
+type Traffic struct {
+	SentFrames     int64 `json:"sent_frames"`
+	SentBytes      int64 `json:"sent_bytes"`
+	ReceivedFrames int64 `json:"received_frames"`
+	ReceivedBytes  int64 `json:"received_bytes"`
+}
+
+// Stats is a snapshot of the mesh's counters since its start.
+type Stats struct {
+	Links int `json:"links"`
+	// Dropped frames did not fit a queue.
+	Dropped int64 `json:"dropped"`
+	// Repeated broadcasts had arrived by another way before.
+	Repeated int64 `json:"repeated"`
+	// Rejected frames and connections were malformed, of another version, or
+	// not authenticated.
+	Rejected int64 `json:"rejected"`
+	// Kinds is indexed by the kind of message; index 0 is keepalives.
+	Kinds [maxKinds]Traffic `json:"kinds"`
+}
+
+type counters struct {
+	dropped, repeated, rejected atomic.Int64
+	kinds                       [maxKinds]struct {
+		sentFrames, sentBytes, receivedFrames, receivedBytes atomic.Int64
+	}
+}
+
+func index(kind peers.Kind) int {
+	if int(kind) >= maxKinds {
+		return 0
+	}
+	return int(kind)
+}
+
+func (c *counters) sent(kind peers.Kind, bytes int) {
+	c.kinds[index(kind)].sentFrames.Add(1)
+	c.kinds[index(kind)].sentBytes.Add(int64(bytes + headerBytes(bytes)))
+}
+
+func (c *counters) received(kind peers.Kind, bytes int) {
+	c.kinds[index(kind)].receivedFrames.Add(1)
+	c.kinds[index(kind)].receivedBytes.Add(int64(bytes + headerBytes(bytes)))
+}
+
+// headerBytes is the size of a WebSocket header; the dialer's is masked, so
+// half of the frames carry four bytes more.
+func headerBytes(payload int) int {
+	const averageMask = 2
+	switch {
+	case payload < 126:
+		return 2 + averageMask
+	case payload < 1<<16:
+		return 4 + averageMask
+	default:
+		return 10 + averageMask
+	}
+}
+
+// Stats returns the counters.
+func (m *Mesh) Stats() Stats {
+	s := Stats{
+		Dropped:  m.counters.dropped.Load(),
+		Repeated: m.counters.repeated.Load(),
+		Rejected: m.counters.rejected.Load(),
+	}
+	for i := range m.counters.kinds {
+		k := &m.counters.kinds[i]
+		s.Kinds[i] = Traffic{k.sentFrames.Load(), k.sentBytes.Load(), k.receivedFrames.Load(), k.receivedBytes.Load()}
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	s.Links = len(m.links)
+	return s
+}
+
+// Var returns the counters as an expvar variable, to be published by the caller.
+func (m *Mesh) Var() expvar.Var { return expvar.Func(func() any { return m.Stats() }) }
