--- a/internal/peers/bus.go
+++ b/internal/peers/bus.go
@@ -2,7 +2,15 @@
 // with CBOR bodies, over a bounded number of connections per instance.
 package peers
 
-import "context"
+import (
+	"context"
+
+	"github.com/pkg/errors"
+)
+
+// ErrNotConnected is returned by a Request whose peer could not be reached:
+// nothing was sent.
+var ErrNotConnected = errors.New("peer not connected")
 
 // Kind tells what a message carries. A kind never changes its meaning; a new
 // shape gets a new kind.
@@ -34,6 +42,9 @@
 	KindExplain
 )
 
+// KindCommit asks a peer to commit a transaction to the table service.
+const KindCommit Kind = 24
+
 // Message is one received message.
 type Message struct {
 	Kind Kind
--- a/internal/peers/membus/membus.go
+++ b/internal/peers/membus/membus.go
@@ -14,7 +14,7 @@
 )
 
 // ErrCut is returned by a Request to an instance that can't be reached.
-var ErrCut = errors.New("peer cut off")
+var ErrCut = errors.WithMessage(peers.ErrNotConnected, "peer cut off")
 
 // Network joins buses. The zero value is not usable; call New.
 type Network struct {
--- a/internal/peers/mesh/connect.go
+++ b/internal/peers/mesh/connect.go
@@ -41,6 +41,7 @@
 	defer ticker.Stop()
 	for ctx.Err() == nil {
 		m.prune()
+		m.pruneSpares()
 		for _, p := range m.missing() {
 			loops.Go(func() { m.dial(ctx, p) })
 		}
@@ -174,6 +175,9 @@
 	for _, l := range m.links {
 		l.close()
 	}
+	for _, s := range m.spares {
+		s.close()
+	}
 }
 
 // Handler accepts the connections of peers at Path.
@@ -191,7 +195,7 @@
 	switch {
 	case l == nil:
 	case transient:
-		l.run(ctx)
+		m.carrySpare(ctx, l)
 	case m.add(l):
 		m.carry(ctx, l)
 	default:
--- a/internal/peers/mesh/link.go
+++ b/internal/peers/mesh/link.go
@@ -24,8 +24,8 @@
 	maxRequestsAtOnce = 32
 )
 
-// ErrNotConnected is returned by a Request whose peer can't be reached.
-var ErrNotConnected = errors.New("peer not connected")
+// errEnded is returned by a request whose connection ended; it may have arrived.
+var errEnded = errors.New("connection to peer ended")
 
 // link is one authenticated connection.
 type link struct {
@@ -223,7 +223,7 @@
 	case e := <-answer:
 		return e, nil
 	case <-l.closed:
-		return envelope{}, ErrNotConnected
+		return envelope{}, errEnded
 	case <-ctx.Done():
 		return envelope{}, ctx.Err()
 	}
--- a/internal/peers/mesh/mesh.go
+++ b/internal/peers/mesh/mesh.go
@@ -64,6 +64,8 @@
 	handlers map[peers.Kind]peers.Handler
 	others   []peers.Peer
 	links    map[string]*link
+	spares   map[string]*spareLink
+	accepted int
 	dials    map[string]*dialState
 	ctx      context.Context
 }
@@ -82,6 +84,7 @@
 		changed:    make(chan struct{}, 1),
 		handlers:   make(map[peers.Kind]peers.Handler),
 		links:      make(map[string]*link),
+		spares:     make(map[string]*spareLink),
 		dials:      make(map[string]*dialState),
 	}
 	if cfg.TLS != nil {
@@ -206,7 +209,7 @@
 }
 
 // Request sends to one peer and decodes its reply. A peer that is no neighbour
-// is reached by a connection for this request alone.
+// is reached by a connection that is kept while it is used.
 func (m *Mesh) Request(ctx context.Context, peer string, kind peers.Kind, body, reply any) error {
 	encoded, err := cbor.Marshal(body)
 	if err != nil {
@@ -232,22 +235,10 @@
 	if l != nil {
 		return l.request(ctx, kind, body)
 	}
-	return m.requestOnce(ctx, peer, kind, body)
-}
-
-func (m *Mesh) requestOnce(ctx context.Context, peer string, kind peers.Kind, body []byte) (envelope, error) {
-	target, ok := m.listed(peer)
-	if !ok {
-		return envelope{}, ErrNotConnected
-	}
-	l, err := m.connect(ctx, target, true)
+	l, err := m.spare(ctx, peer)
 	if err != nil {
-		return envelope{}, errors.Wrap(ErrNotConnected, err.Error())
+		return envelope{}, err
 	}
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	go l.run(ctx)
-	defer l.close()
 	return l.request(ctx, kind, body)
 }
 
--- a/internal/peers/mesh/mesh_test.go
+++ b/internal/peers/mesh/mesh_test.go
@@ -27,7 +27,7 @@
 		require.Equal(t, b.Self(), reply)
 		require.ErrorContains(t, a.Request(t.Context(), b.Self(), peers.KindBill, "fail", nil), "refused here")
 		require.ErrorContains(t, a.Request(t.Context(), b.Self(), peers.KindExplain, "x", nil), "no handler")
-		require.ErrorIs(t, a.Request(t.Context(), "nobody", peers.KindBill, "x", nil), ErrNotConnected)
+		require.ErrorIs(t, a.Request(t.Context(), "nobody", peers.KindBill, "x", nil), peers.ErrNotConnected)
 	})
 }
 
@@ -45,7 +45,7 @@
 		f.requireReceived(f.nodes[1:2], 1)
 		require.Positive(t, f.nodes[0].Stats().Rejected)
 		err := stranger.Request(t.Context(), f.nodes[0].Self(), peers.KindBill, "x", nil)
-		require.ErrorIs(t, err, ErrNotConnected)
+		require.ErrorIs(t, err, peers.ErrNotConnected)
 	})
 }
 
@@ -113,6 +113,9 @@
 		far := stranger(f.nodes[0], alive)
 		require.NoError(t, f.nodes[0].Request(t.Context(), far.Self(), peers.KindBill, "x", nil))
 		require.Equal(t, 3, far.count())
+		require.Equal(t, 1, f.nodes[0].Stats().Spares)
+		time.Sleep(spareIdle + time.Second)
+		require.Zero(t, f.nodes[0].Stats().Spares)
 	})
 }
 
--- a/internal/peers/mesh/stats.go
+++ b/internal/peers/mesh/stats.go
@@ -21,7 +21,9 @@
 
 // Stats is a snapshot of the mesh's counters since its start.
 type Stats struct {
-	Links int `json:"links"`
+	// Links stand to neighbours; Spares are other connections dialed for requests.
+	Links  int `json:"links"`
+	Spares int `json:"spares"`
 	// Dropped frames did not fit a queue.
 	Dropped int64 `json:"dropped"`
 	// Repeated broadcasts had arrived by another way before.
@@ -85,6 +87,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	s.Links = len(m.links)
+	s.Spares = len(m.spares)
 	return s
 }
 
