--- a/Makefile
+++ b/Makefile
@@ -30,3 +30,10 @@
 
 measure:
 	$(GO) run ./cmd/basilrail-measure
+
+# demo shows the lagos-main example at work and ends; run leaves it up.
+demo: build
+	bash scripts/demo.sh
+
+run: build
+	bash scripts/run.sh
--- a/internal/standin/command/command.go
+++ b/internal/standin/command/command.go
@@ -29,6 +29,7 @@
 	Engine   EngineCmd   `cmd:"" help:"Run a model engine."`
 	Rater    RaterCmd    `cmd:"" help:"Run the service that rates answers."`
 	Booking  BookingCmd  `cmd:"" help:"Run a booking service whose calls must not be repeated."`
+	Caller   CallerCmd   `cmd:"" help:"Send requests as callers do."`
 }
 
 // Options are kong's options for the command line.
--- a/internal/staticconfig/config.go
+++ b/internal/staticconfig/config.go
@@ -27,7 +27,7 @@
 	PeerSecret  SecretText `help:"Secret shared by all entry instances, of at least 32 bytes; text. Prefer the variable: flags show in process lists." need:"true" group:"Secrets"`
 	TokenSecret SecretText `help:"Master secret of the session tokens, of at least 32 bytes; text. Prefer the variable: flags show in process lists." need:"true" group:"Secrets"`
 
-	BootstrapKeySHA256 KeySum `name:"bootstrap-key-sha256" help:"SHA-256 of a key that may apply the first settings, while there are none; 64 hexadecimal digits." group:"Secrets"`
+	BootstrapKeySHA256 KeySum `name:"bootstrap-key-sha256" env:"BASILRAIL_BOOTSTRAP_KEY_SHA256" help:"SHA-256 of a key that may apply the first settings, while there are none; 64 hexadecimal digits." group:"Secrets"`
 
 	CallersTLS   ServerTLS `embed:"" prefix:"callers-tls-" group:"TLS"`
 	OperatorsTLS ServerTLS `embed:"" prefix:"operators-tls-" group:"TLS"`
--- a/internal/staticconfig/parse.go
+++ b/internal/staticconfig/parse.go
@@ -51,7 +51,16 @@
 		kong.Description("An entry instance of basilrail, a model-aware router."),
 		kong.DefaultEnvars(envPrefix),
 	}
-	return kong.New(cfg, append(own, options...)...)
+	app, err := kong.New(cfg, append(own, options...)...)
+	if err != nil {
+		return nil, err
+	}
+	for _, flag := range app.Model.Flags {
+		if value, ok := flag.Target.Addr().Interface().(placeholding); ok && !flag.HasDefault {
+			flag.PlaceHolder = value.placeholder()
+		}
+	}
+	return app, nil
 }
 
 func flagsByName(app *kong.Kong) map[string]*kong.Flag {
--- a/internal/staticconfig/staticconfig_test.go
+++ b/internal/staticconfig/staticconfig_test.go
@@ -143,6 +143,7 @@
 			continue
 		}
 		assert.Regexp(t, unit, flag.Help, flag.Name)
+		assert.Equal(t, envPrefix+"_"+strings.ToUpper(strings.ReplaceAll(flag.Name, "-", "_")), flag.Envs[0])
 		assert.Contains(t, help.String(), "$"+flag.Envs[0])
 	}
 }
--- a/internal/staticconfig/value.go
+++ b/internal/staticconfig/value.go
@@ -19,6 +19,8 @@
 // be a secret.
 type parser[T any] interface {
 	parse(text string) (T, error)
+	// placeholder stands for the value in the help.
+	placeholder() string
 }
 
 // Setting is a flag's value. Reading it never fails: what is wrong is kept, so
@@ -37,9 +39,17 @@
 
 func (s *Setting[T, P]) fault() error { return s.problem }
 
-// faulty is any Setting.
+func (s *Setting[T, P]) placeholder() string {
+	var p P
+	return p.placeholder()
+}
+
+// faulty is any Setting or Switch.
 type faulty interface{ fault() error }
 
+// placeholding is any Setting.
+type placeholding interface{ placeholder() string }
+
 // The kinds of flag values.
 type (
 	// Name is a name of letters, digits, dots, dashes and underscores.
@@ -226,3 +236,16 @@
 	}
 	return text, nil
 }
+
+func (nameParser) placeholder() string     { return "NAME" }
+func (addressParser) placeholder() string  { return "IP:PORT" }
+func (urlParser) placeholder() string      { return "URL" }
+func (durationParser) placeholder() string { return "DURATION" }
+func (countParser) placeholder() string    { return "NUMBER" }
+func (bytesParser) placeholder() string    { return "BYTES" }
+func (fractionParser) placeholder() string { return "FRACTION" }
+func (secretParser) placeholder() string   { return "TEXT" }
+func (fileParser) placeholder() string     { return "PATH" }
+func (levelParser) placeholder() string    { return "LEVEL" }
+func (formatParser) placeholder() string   { return "FORMAT" }
+func (keySumParser) placeholder() string   { return "SHA256" }
