--- a/internal/entry/build.go
+++ b/internal/entry/build.go
@@ -13,6 +13,7 @@
 	"github.com/basilrail/basilrail/internal/claim"
 	"github.com/basilrail/basilrail/internal/configsync"
 	"github.com/basilrail/basilrail/internal/datastore"
+	"github.com/basilrail/basilrail/internal/explain"
 	"github.com/basilrail/basilrail/internal/flowcontrol"
 	"github.com/basilrail/basilrail/internal/gateway"
 	"github.com/basilrail/basilrail/internal/membership"
@@ -25,6 +26,7 @@
 	"github.com/basilrail/basilrail/internal/rating"
 	"github.com/basilrail/basilrail/internal/retry"
 	"github.com/basilrail/basilrail/internal/rollout"
+	"github.com/basilrail/basilrail/internal/serverwatch"
 	"github.com/basilrail/basilrail/internal/session"
 	"github.com/basilrail/basilrail/internal/settings"
 	"github.com/basilrail/basilrail/internal/statechart"
@@ -35,7 +37,7 @@
 	// claims and bills of the whole fleet may take.
 	fleetCommitsPerSecond = 300.0
 	// subsetSize is the number of servers of each model that an instance uses.
-	subsetSize = 128
+	subsetSize = 24
 	// maxAnswerBytes bounds a whole answer of a backend server.
 	maxAnswerBytes = 16 << 20
 	// idleConnsPerServer is the number of idle connections kept to a backend server.
@@ -53,7 +55,9 @@
 	i := &Instance{opts: o, cfg: o.Config, log: o.Log, charts: charts, aborted: make(chan struct{})}
 	i.seeds = seedFor(o.Seed, o.Config.Instance.Value)
 	bus := membus.New().Join(i.cfg.Instance.Value, i.cfg.FailureDomain.Value)
-	i.buildState(bus)
+	if err := i.buildState(bus); err != nil {
+		return nil, err
+	}
 	i.buildDecisions(bus)
 	if err := i.buildGateway(); err != nil {
 		return nil, err
@@ -74,9 +78,12 @@
 }
 
 // buildState makes what reads and writes the platform.
-func (i *Instance) buildState(bus peers.Bus) {
-	client := &http.Client{Transport: i.transport()}
-	i.platform = httpplatform.New(client, i.cfg.PlatformURL.Value.String(), 0)
+func (i *Instance) buildState(bus peers.Bus) error {
+	transport, err := i.clientTransport(i.cfg.PlatformTLS)
+	if err != nil {
+		return errors.Wrap(err, "certificates for the platform")
+	}
+	i.platform = httpplatform.New(&http.Client{Transport: transport}, i.cfg.PlatformURL.Value.String(), 0)
 	i.members = membership.New(i.platform, platform.Member{
 		ID:            i.cfg.Instance.Value,
 		Kind:          platform.MemberEntry,
@@ -100,6 +107,7 @@
 		Reads:         i.platform,
 		Log:           i.log,
 	})
+	return nil
 }
 
 // commitBudget is this instance's share of the fleet's commits.
@@ -114,6 +122,16 @@
 
 // buildDecisions makes what chooses, learns and protects.
 func (i *Instance) buildDecisions(bus peers.Bus) {
+	i.watcher = serverwatch.New(serverwatch.Options{
+		Store:  i.data,
+		Client: &http.Client{Transport: i.transport()},
+		Bus:    bus,
+		Chart:  i.charts.Server,
+		Rand:   i.newRand(),
+		Logger: i.log,
+	})
+	i.members.OnChange(func(v *membership.View) { i.watcher.SetMembers(v.Servers) })
+	i.explain = explain.New(bus, i.opts.Tracing.Recorder(), i.cfg.ExplainRecords.Value)
 	i.suspects = quarantine.New(quarantine.Options{Bus: bus, Table: i.platform, Rand: i.newRand(), Logger: i.log})
 	i.rollouts = rollout.New(rollout.Options{
 		Bus:      bus,
@@ -135,7 +153,11 @@
 		return errors.Wrap(err, "session tokens")
 	}
 	i.life = newLifecycle(i.charts, i.syncer, i.log)
-	i.backend = backend.NewClient(i.transport(), "http", maxAnswerBytes)
+	transport, err := i.clientTransport(i.cfg.ServersTLS)
+	if err != nil {
+		return errors.Wrap(err, "certificates for the backend servers")
+	}
+	i.backend = backend.NewClient(transport, i.serverScheme(), maxAnswerBytes)
 	i.gateway = gateway.New(gateway.Options{
 		Data:          i.data,
 		Backend:       i.backend,
@@ -144,23 +166,34 @@
 		Versions:      i.rollouts,
 		Planner:       i.planner,
 		Admission:     i.admit,
-		Suspects:      suspectTracker{Quarantine: i.suspects},
+		Suspects:      suspectTracker{Quarantine: i.suspects, servers: i.watcher},
 		Retries:       retry.New(i.newRand()),
-		Servers:       serverReports{},
+		Servers:       i.watcher,
 		Claims:        i.claims,
 		Bills:         i.ledger,
 		Rater:         rating.New(&http.Client{Transport: i.transport()}, i.ratingURL()),
 		Charts:        i.charts,
-		Records:       dropRecords{},
+		Records:       i.explain,
 		Log:           i.log,
-		Tracer:        i.opts.Tracer,
+		Tracer:        i.opts.Tracing.Tracer(),
 		Rand:          i.newRand(),
 		StreamTime:    i.cfg.StreamTime.Value,
+		WriteTimeout:  i.cfg.WriteTimeout.Value,
+		Connections:   i.cfg.ConnectionsPerAccount.Value,
+		BodyBytes:     i.cfg.BodyBytes.Value,
 		FailureDomain: i.cfg.FailureDomain.Value,
 	})
 	return nil
 }
 
+// serverScheme is https where certificates for the backend servers are given.
+func (i *Instance) serverScheme() string {
+	if i.cfg.ServersTLS.CA.Value == "" {
+		return "http"
+	}
+	return "https"
+}
+
 func (i *Instance) ratingURL() string {
 	if i.cfg.RatingURL.Value == nil {
 		return ""
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -19,6 +19,7 @@
 	"github.com/basilrail/basilrail/internal/events"
 	"github.com/basilrail/basilrail/internal/settings"
 	"github.com/basilrail/basilrail/internal/statechart"
+	"github.com/basilrail/basilrail/internal/tracing"
 )
 
 // request is one caller's request on its way.
@@ -50,7 +51,7 @@
 			gateway: g,
 			id:      uuid.NewString(),
 			http:    hr,
-			w:       w,
+			w:       newPatientWriter(w, g.WriteTimeout),
 			life:    statechart.NewMachine(g.Charts.Request),
 			ran:     apierror.NotRun,
 		}
@@ -71,7 +72,7 @@
 	if refusal := r.identify(g.Data.Snapshot()); refusal != nil {
 		return refusal
 	}
-	leave, refusal := g.limits.enter(r.view)
+	leave, refusal := g.limits.enter(r.view, g.connectionLimit(r.view.Account.Limits))
 	if refusal != nil {
 		return refusal
 	}
@@ -79,7 +80,7 @@
 	if refusal := r.read(); refusal != nil {
 		return refusal
 	}
-	ctx, span := startSpan(ctx, r, spanEntry)
+	ctx, span := startEntry(ctx, r)
 	defer span.End()
 	return handle(ctx, r)
 }
@@ -102,7 +103,7 @@
 
 // read takes the body and the headers that all requests share.
 func (r *request) read() *apierror.Error {
-	body, err := io.ReadAll(http.MaxBytesReader(r.w, r.http.Body, bodyLimit(r.view.Account.Limits)))
+	body, err := io.ReadAll(http.MaxBytesReader(r.w, r.http.Body, r.gateway.bodyLimit(r.view.Account.Limits)))
 	if err != nil {
 		return bodyRefusal(err)
 	}
@@ -237,7 +238,7 @@
 // bill makes the request's bill durable. It is called before the caller sees
 // the end of the answer.
 func (r *request) bill(ctx context.Context) error {
-	ctx, span := startSpan(ctx, r, spanBill)
+	ctx, span := startSpan(ctx, r, tracing.HopBill)
 	defer span.End()
 	rec := billing.Record{Account: r.view.ID, RequestID: r.billName(), At: time.Now().UTC(), Lines: r.lines}
 	for _, line := range r.lines {
