--- a/internal/statechart/set.go
+++ b/internal/statechart/set.go
@@ -7,7 +7,7 @@
 	"github.com/basilrail/basilrail/internal/findings"
 )
 
-//go:generate go run ./gen -out ../../docs/STATECHARTS.md
+//go:generate go run ../docsgen -root ../..
 
 //go:embed charts/*.yaml
 var files embed.FS
--- /dev/null
+++ b/internal/testgate/known.go
@@ -0,0 +1,75 @@
+package main
+
+import (
+	"strings"
+
+	"github.com/basilrail/basilrail/internal/findings"
+)
+
+// entry is one test that is known to fail.
+type entry struct {
+	// pkg is the package's path below the module, name the test's.
+	pkg, name string
+	// text is the whole entry as written.
+	text string
+}
+
+// covers reports whether the entry names the test or one that contains it.
+func (e entry) covers(pkg, name string) bool {
+	samePackage := pkg == e.pkg || strings.HasSuffix(pkg, "/"+e.pkg)
+	return samePackage && (name == e.name || strings.HasPrefix(name, e.name+"/"))
+}
+
+// fields are what each entry must tell.
+var fields = [...]string{"test", "command", "seed", "seen", "issue"}
+
+// parseKnown reads the list: entries of "field: value" lines, with an empty
+// line between two entries; "#" begins a comment.
+func parseKnown(path, text string) ([]entry, error) {
+	var faults findings.List
+	var entries []entry
+	for _, block := range blocks(text) {
+		values := make(map[string]string)
+		for _, line := range block.lines {
+			name, value, _ := strings.Cut(line, ":")
+			values[strings.TrimSpace(name)] = strings.TrimSpace(value)
+		}
+		for _, field := range fields {
+			if values[field] == "" {
+				faults.AddAt(path, block.line, "the entry has no %q", field)
+			}
+		}
+		pkg, name, ok := strings.Cut(values["test"], " ")
+		if !ok {
+			faults.AddAt(path, block.line, "test must be a package and a test's name")
+		}
+		entries = append(entries, entry{pkg: pkg, name: strings.TrimSpace(name), text: strings.Join(block.lines, "\n")})
+	}
+	return entries, faults.Err()
+}
+
+// block is consecutive lines, the first of which stands at line.
+type block struct {
+	line  int
+	lines []string
+}
+
+func blocks(text string) []block {
+	var list []block
+	open := false
+	for i, line := range strings.Split(text, "\n") {
+		line = strings.TrimSpace(line)
+		switch {
+		case line == "":
+			open = false
+		case strings.HasPrefix(line, "#"):
+		case open:
+			last := &list[len(list)-1]
+			last.lines = append(last.lines, line)
+		default:
+			open = true
+			list = append(list, block{line: i + 1, lines: []string{line}})
+		}
+	}
+	return list
+}
