--- a/Makefile
+++ b/Makefile
@@ -32,7 +32,7 @@
 	$(GO) run ./internal/docsgen -check
 
 measure:
-	$(GO) run ./cmd/basilrail-measure
+	scripts/measure.sh
 
 # demo shows the lagos-main example at work and ends; run leaves it up.
 demo: build
