--- a/internal/entry/build.go
+++ b/internal/entry/build.go
@@ -19,7 +19,7 @@
 	"github.com/basilrail/basilrail/internal/membership"
 	"github.com/basilrail/basilrail/internal/orders"
 	"github.com/basilrail/basilrail/internal/peers"
-	"github.com/basilrail/basilrail/internal/peers/membus"
+	"github.com/basilrail/basilrail/internal/peers/mesh"
 	"github.com/basilrail/basilrail/internal/platform"
 	"github.com/basilrail/basilrail/internal/platform/groupcommit"
 	"github.com/basilrail/basilrail/internal/platform/httpplatform"
@@ -55,11 +55,13 @@
 	}
 	i := &Instance{opts: o, cfg: o.Config, log: o.Log, charts: charts, aborted: make(chan struct{})}
 	i.seeds = seedFor(o.Seed, o.Config.Instance.Value)
-	bus := membus.New().Join(i.cfg.Instance.Value, i.cfg.FailureDomain.Value)
-	if err := i.buildState(bus); err != nil {
+	if err := i.buildMesh(); err != nil {
 		return nil, err
 	}
-	i.buildDecisions(bus)
+	if err := i.buildState(i.mesh); err != nil {
+		return nil, err
+	}
+	i.buildDecisions(i.mesh)
 	if err := i.buildGateway(); err != nil {
 		return nil, err
 	}
@@ -78,6 +80,37 @@
 	return transport
 }
 
+// buildMesh makes the connections to the other entry instances.
+func (i *Instance) buildMesh() error {
+	peerFiles, err := i.reloader(i.peerFiles())
+	if err != nil {
+		return errors.Wrap(err, "certificates for the peers")
+	}
+	dial := i.opts.Dial
+	if peerFiles != nil {
+		dial = peerFiles.Dialer(dial)
+	}
+	i.mesh = mesh.New(mesh.Config{
+		Self:   i.cfg.Instance.Value,
+		Secret: i.cfg.PeerSecret.Value,
+		Dial:   dial,
+		Rand:   i.newRand(),
+		Log:    i.log,
+	})
+	return nil
+}
+
+// setPeers tells the mesh of the entry instances that the list names.
+func (i *Instance) setPeers(v *membership.View) {
+	var others []peers.Peer
+	for _, m := range v.Entries {
+		if m.ID != i.cfg.Instance.Value {
+			others = append(others, peers.Peer{ID: m.ID, FailureDomain: m.FailureDomain, Address: m.Address})
+		}
+	}
+	i.mesh.SetPeers(others)
+}
+
 // buildState makes what reads and writes the platform.
 func (i *Instance) buildState(bus peers.Bus) error {
 	transport, err := i.clientTransport(i.cfg.PlatformTLS)
@@ -140,6 +173,7 @@
 		Rand:      i.newRand(),
 		Logger:    i.log,
 	})
+	i.members.OnChange(i.setPeers)
 	i.members.OnChange(func(v *membership.View) { i.watcher.SetMembers(v.Servers) })
 	i.explain = explain.New(bus, i.opts.Tracing.Recorder(), i.cfg.ExplainRecords.Value)
 	i.suspects = quarantine.New(quarantine.Options{Bus: bus, Table: i.platform, Rand: i.newRand(), Logger: i.log})
--- a/internal/entry/instance.go
+++ b/internal/entry/instance.go
@@ -23,6 +23,7 @@
 	"github.com/basilrail/basilrail/internal/gateway"
 	"github.com/basilrail/basilrail/internal/membership"
 	"github.com/basilrail/basilrail/internal/orders"
+	"github.com/basilrail/basilrail/internal/peers/mesh"
 	"github.com/basilrail/basilrail/internal/platform/groupcommit"
 	"github.com/basilrail/basilrail/internal/platform/httpplatform"
 	"github.com/basilrail/basilrail/internal/quarantine"
@@ -54,6 +55,7 @@
 	charts *statechart.Set
 	seeds  *rand.Rand
 
+	mesh     *mesh.Mesh
 	data     *datastore.Store
 	platform *httpplatform.Client
 	commits  *groupcommit.Committer
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -71,6 +71,7 @@
 		handler http.Handler
 	}{
 		{i.cfg.ListenOperators.Value.String(), serverFiles(i.cfg.OperatorsTLS), operators},
+		{i.cfg.ListenPeers.Value.String(), i.peerFiles(), i.mesh.Handler()},
 		{i.cfg.ListenCallers.Value.String(), serverFiles(i.cfg.CallersTLS), i.gateway.Handler()},
 	}
 	for _, l := range listeners {
@@ -82,6 +83,12 @@
 	return nil
 }
 
+// peerFiles are the certificate and authorities of both ends of peer connections.
+func (i *Instance) peerFiles() tlsreload.Files {
+	c := i.cfg.PeersTLS
+	return tlsreload.Files{Cert: c.Cert.Value, Key: c.Key.Value, CA: c.CA.Value}
+}
+
 func serverFiles(c staticconfig.ServerTLS) tlsreload.Files {
 	return tlsreload.Files{Cert: c.Cert.Value, Key: c.Key.Value}
 }
@@ -117,6 +124,7 @@
 // startLoops starts everything that works in the background.
 func (i *Instance) startLoops(ctx context.Context) {
 	i.goLoop(ctx, i.members.Run)
+	i.goLoop(ctx, i.mesh.Run)
 	i.goLoop(ctx, i.syncer.Run)
 	i.goLoop(ctx, i.commits.Run)
 	i.goLoop(ctx, i.claims.Run)
