Hand a bill over at once while few handovers are under way

Cause: every bill waited 5 ms for company before it left for the peers, so a request through an entry took 8.5 ms more than to the engine (make measure, overhead; spans of 'basilrailctl explain': bill 6.5 ms of 8.4 ms). Ruled out: the mesh itself (queue and links add no waits). Now a handover leaves at once while fewer than two are under way and gathers only above that: bill spans of 0.4 to 1.2 ms on a busy machine.

--- a/internal/billing/handover.go
+++ b/internal/billing/handover.go
@@ -3,14 +3,17 @@
 import (
 	"context"
 	"sort"
+	"sync"
 	"time"
 
 	"github.com/basilrail/basilrail/internal/peers"
-	"github.com/basilrail/basilrail/internal/wait"
 )
 
 const (
-	// handoverWindow is how long records are gathered for one handover.
+	// maxHandovers is the number of handovers under way above which records are
+	// gathered; below it each leaves at once, since its caller waits.
+	maxHandovers = 2
+	// handoverWindow is the longest that records are gathered for one handover.
 	handoverWindow = 5 * time.Millisecond
 	// handoverTimeout bounds the wait for a peer's acknowledgement.
 	handoverTimeout = 250 * time.Millisecond
@@ -36,13 +39,33 @@
 			return
 		case <-l.handoverDue:
 		}
-		if wait.For(ctx, handoverWindow) != nil {
-			return
-		}
-		for _, b := range l.takeDue() {
-			go l.deliver(ctx, b)
-		}
+		done := l.gather(ctx)
+		go func() {
+			defer done()
+			l.deliverAll(ctx, l.takeDue())
+		}()
+	}
+}
+
+// gather waits until another handover may leave; done ends it.
+func (l *Ledger) gather(ctx context.Context) (done func()) {
+	timer := time.NewTimer(handoverWindow)
+	defer timer.Stop()
+	select {
+	case l.handovers <- struct{}{}:
+		return func() { <-l.handovers }
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	return func() {}
+}
+
+func (l *Ledger) deliverAll(ctx context.Context, batches []*batch) {
+	var deliveries sync.WaitGroup
+	for _, b := range batches {
+		deliveries.Go(func() { l.deliver(ctx, b) })
 	}
+	deliveries.Wait()
 }
 
 // deliver hands a batch to peers until one acknowledges it, or its block is
--- a/internal/billing/ledger.go
+++ b/internal/billing/ledger.go
@@ -58,8 +58,10 @@
 	incarnation string
 	handoverDue chan struct{}
 	flushDue    chan struct{}
-	flushing    sync.Mutex
-	held        *holder
+	// handovers holds a token for each handover under way.
+	handovers chan struct{}
+	flushing  sync.Mutex
+	held      *holder
 
 	mu       sync.Mutex
 	number   uint64
@@ -97,6 +99,7 @@
 		incarnation: uuid.NewString()[:8],
 		handoverDue: make(chan struct{}, 1),
 		flushDue:    make(chan struct{}, 1),
+		handovers:   make(chan struct{}, maxHandovers),
 		waiting:     make(map[*batch]struct{}),
 	}
 	l.held = newHolder(cfg)
--- a/internal/entry/fleet_test.go
+++ b/internal/entry/fleet_test.go
@@ -53,6 +53,7 @@
 	servers  []*http.Server
 	log      *bytes.Buffer
 	logLock  sync.Mutex
+	changes  int
 }
 
 // member is one running entry instance.
@@ -69,6 +70,7 @@
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		f := newFleet(t)
+		defer f.close()
 		f.startBackends(exampleDocs(t))
 		for range size {
 			f.addEntry()
@@ -76,7 +78,6 @@
 		f.apply(0, exampleDocs(t)...)
 		time.Sleep(settleTime)
 		test(f)
-		f.close()
 	})
 }
 
@@ -217,7 +218,8 @@
 	for _, doc := range current {
 		revisions[doc.Path] = doc.Revision
 	}
-	change := settings.Change{ID: fmt.Sprintf("change-%d-%d", n, time.Now().UnixNano()), Author: "operations"}
+	f.changes++
+	change := settings.Change{ID: fmt.Sprintf("change-%d", f.changes), Author: "operations"}
 	for _, doc := range docs {
 		doc.Revision = revisions[doc.Path]
 		change.Documents = append(change.Documents, doc)
--- a/scripts/measure.sh
+++ b/scripts/measure.sh
@@ -1,6 +1,6 @@
 #!/usr/bin/env bash
 # Prints every measure. The overhead and throughput rows need processes of their
-# own: one engine stand-in, one entry instance and one bare relay, on loopback.
+# own: one engine stand-in, entry instances and one bare relay, on loopback.
 # All are ended before the script returns.
 set -euo pipefail
 cd "$(dirname "$0")/.."
@@ -34,15 +34,24 @@
 GOMAXPROCS=1 "$bin/basilrail-measure" relay --listen=127.0.0.1:8891 --server=http://127.0.0.1:8892 2>"$bin/relay.log" &
 relay=$!
 pids+=("$relay")
-GOMAXPROCS=1 BASILRAIL_PEER_SECRET=$secret BASILRAIL_TOKEN_SECRET=$secret "$bin/basilraild" \
-	--instance=entry-1 --failure-domain=here --platform-url=http://127.0.0.1:8890 \
-	--listen-callers=127.0.0.1:8893 --listen-operators=127.0.0.1:8894 --listen-peers=127.0.0.1:8895 \
-	--bootstrap-key-sha256="$sum" --log-level=error --drain-wait=1ms 2>"$bin/entry.log" &
-entry=$!
-pids+=("$entry")
+
+# entry NAME DOMAIN PORT starts an entry instance on PORT and the two after it.
+entry() {
+	GOMAXPROCS=1 BASILRAIL_PEER_SECRET=$secret BASILRAIL_TOKEN_SECRET=$secret "$bin/basilraild" \
+		--instance="$1" --failure-domain="$2" --platform-url=http://127.0.0.1:8890 \
+		--listen-callers=127.0.0.1:"$3" --listen-operators=127.0.0.1:$(($3 + 1)) --listen-peers=127.0.0.1:$(($3 + 2)) \
+		--bootstrap-key-sha256="$sum" --log-level=error --drain-wait=1ms 2>"$bin/$1.log" &
+	pids+=($!)
+}
+entry entry-1 here 8893
+measured=${pids[-1]}
+# Two more hold the bills that are not stored yet.
+entry entry-2 there 8897
+entry entry-3 elsewhere 8901
 wait_for http://127.0.0.1:8894/health/ready
 cp -r "$settings" "$bin/settings"
 "$bin/basilrailctl" apply "$bin/settings" --entry=http://127.0.0.1:8894 --key=demo-operator >"$bin/apply.log"
+sleep 5 # the membership list and the mesh settle
 for _ in $(seq 100); do
 	if curl -sf -o /dev/null -H 'Authorization: Bearer demo-measure-caller' \
 		-d '{"model":"fast@v1","messages":[{"role":"user","content":"x"}]}' \
@@ -50,4 +59,4 @@
 	sleep 0.1
 done
 "$bin/basilrail-measure" --path-entry-url=http://127.0.0.1:8893 --path-relay-url=http://127.0.0.1:8891 \
-	--path-engine-url=http://127.0.0.1:8892 --path-entry-pid="$entry" --path-relay-pid="$relay" "$@"
+	--path-engine-url=http://127.0.0.1:8892 --path-entry-pid="$measured" --path-relay-pid="$relay" "$@"
