--- a/internal/cascade/plan.go
+++ b/internal/cascade/plan.go
@@ -12,7 +12,7 @@
 
 import (
 	"math"
-	"slices"
+	"math/bits"
 	"time"
 
 	"github.com/basilrail/basilrail/internal/settings"
@@ -122,7 +122,8 @@
 
 // chain is an order of candidates under consideration. All but the last are judged.
 type chain struct {
-	members  []int
+	// set has bit i for candidate i.
+	set      uint
 	cost     float64
 	quality  float64
 	duration time.Duration
@@ -157,29 +158,28 @@
 
 // enumerate evaluates every order-preserving choice of candidates.
 func enumerate(in *Input) []chain {
-	count := 1 << len(in.Candidates)
+	count := uint(1) << len(in.Candidates)
 	chains := make([]chain, 0, count-1)
-	for set := 1; set < count; set++ {
+	for set := uint(1); set < count; set++ {
 		chains = append(chains, in.evaluate(set))
 	}
 	return chains
 }
 
 // evaluate computes the chain of the candidates in a bit set.
-func (in *Input) evaluate(set int) chain {
-	var c chain
+func (in *Input) evaluate(set uint) chain {
+	c := chain{set: set}
 	// reach is the chance that the step is reached: by the expectation for
 	// cost, and at the most for quality.
 	reach, worst := 1.0, 1.0
 	for i := range in.Candidates {
-		if set&(1<<i) == 0 {
+		if !c.has(i) {
 			continue
 		}
 		candidate := &in.Candidates[i]
-		c.members = append(c.members, i)
 		c.cost += reach * float64(candidate.Cost)
 		c.duration += candidate.Duration
-		if set>>(i+1) == 0 {
+		if i == c.last() {
 			c.quality = 1 - worst*(1-candidate.lower())
 			break
 		}
@@ -188,12 +188,20 @@
 		reach *= 1 - candidate.expectedPass()
 		worst *= 1 - candidate.Pass.Lower
 	}
-	last := &in.Candidates[c.members[len(c.members)-1]]
+	last := &in.Candidates[c.last()]
 	c.shortfall = max(0, in.Target-last.lower())
 	c.meets = c.shortfall <= in.Allowance
 	return c
 }
 
+func (c *chain) has(i int) bool { return c.set&(1<<i) != 0 }
+
+// last is the index of the last candidate.
+func (c *chain) last() int { return bits.Len(c.set) - 1 }
+
+// isJudged tells whether any answer is judged.
+func (c *chain) isJudged() bool { return bits.OnesCount(c.set) > 1 }
+
 // lower is the least chance of an acceptable answer that may be counted on.
 func (c *Candidate) lower() float64 {
 	if c.Trusted {
@@ -231,7 +239,7 @@
 	var best *chain
 	for i := range chains {
 		c := &chains[i]
-		if len(c.members) > 1 || !c.meets || !in.inTime(c) {
+		if c.isJudged() || !c.meets || !in.inTime(c) {
 			continue
 		}
 		if best == nil || c.cost < best.cost {
@@ -249,7 +257,7 @@
 // budget, the more of the cost a rating must save, so that a scarce budget
 // goes where it saves most.
 func (in *Input) affordable(c, plain *chain) bool {
-	if len(c.members) == 1 {
+	if !c.isJudged() {
 		return true
 	}
 	if !in.Rating.Available || in.Rating.Fill <= 0 {
@@ -267,7 +275,7 @@
 	var best *chain
 	for i := range chains {
 		c := &chains[i]
-		if !in.inTime(c) || (len(c.members) > 1 && !in.affordable(c, nil)) {
+		if !in.inTime(c) || (c.isJudged() && !in.affordable(c, nil)) {
 			continue
 		}
 		if best == nil || c.quality > best.quality {
@@ -298,17 +306,17 @@
 		Shortfall:    c.shortfall,
 		MeetsTarget:  c.meets && in.inTime(c),
 	}
-	for k, i := range c.members {
-		judge := k < len(c.members)-1
+	for i := range in.Candidates {
+		candidate := &in.Candidates[i]
+		plan.Verdicts = append(plan.Verdicts, Verdict{Ref: candidate.Ref, Why: in.why(c, i)})
+		if !c.has(i) {
+			continue
+		}
+		judge := i != c.last()
 		plan.Steps = append(plan.Steps, Step{
-			Ref:    in.Candidates[i].Ref,
-			Judge:  judge,
-			Sample: !judge && in.samples(&in.Candidates[i]),
+			Ref: candidate.Ref, Judge: judge, Sample: !judge && in.samples(candidate),
 		})
 	}
-	for i := range in.Candidates {
-		plan.Verdicts = append(plan.Verdicts, Verdict{Ref: in.Candidates[i].Ref, Why: in.why(c, i)})
-	}
 	return plan
 }
 
@@ -326,17 +334,17 @@
 // why explains the part of candidate i.
 func (in *Input) why(c *chain, i int) Why {
 	candidate := &in.Candidates[i]
-	last := c.members[len(c.members)-1]
+	isLast := i == c.last()
 	switch {
-	case i == last && candidate.Trusted:
+	case isLast && candidate.Trusted:
 		return ServesTrusted
-	case i == last && c.shortfall == 0:
+	case isLast && c.shortfall == 0:
 		return ServesProven
-	case i == last && c.meets:
+	case isLast && c.meets:
 		return ServesAllowance
-	case i == last:
+	case isLast:
 		return ServesBest
-	case slices.Contains(c.members, i):
+	case c.has(i):
 		return TriedAndJudged
 	case in.Remaining > 0 && candidate.Duration > in.Remaining:
 		return SkippedTime
--- a/internal/datastore/datastore.go
+++ b/internal/datastore/datastore.go
@@ -73,7 +73,7 @@
 	Settings *settings.Snapshot
 	Servers  map[string]*Server
 
-	// watched are the servers this entry uses, in the order of their ids.
+	// watched are the servers this entry uses, in the order of their hashes.
 	watched   []*Server
 	byVersion map[settings.VersionRef][]*Server
 	byService map[string][]*Server
@@ -84,11 +84,11 @@
 func (s *Snapshot) Watched() []*Server { return s.watched }
 
 // ForVersion returns the watched servers that reported the version as loaded,
-// in the order of their ids. The slice must not be changed.
+// in the order of their hashes. The slice must not be changed.
 func (s *Snapshot) ForVersion(ref settings.VersionRef) []*Server { return s.byVersion[ref] }
 
 // ForService returns the watched servers of a plain service, in the order of
-// their ids. The slice must not be changed.
+// their hashes. The slice must not be changed.
 func (s *Snapshot) ForService(name string) []*Server { return s.byService[name] }
 
 // Store builds Snapshots. It is safe for concurrent use.
@@ -159,7 +159,7 @@
 		servers[id] = server
 		all = append(all, server)
 	}
-	slices.SortFunc(all, func(a, b *Server) int { return cmp.Compare(a.ID, b.ID) })
+	slices.SortFunc(all, compareHashes)
 	snap := &Snapshot{
 		Settings:  s,
 		Servers:   servers,
@@ -221,9 +221,14 @@
 	return found
 }
 
-// position finds a server in a list ordered by id.
+// compareHashes orders servers by their hashes.
+func compareHashes(a, b *Server) int {
+	return cmp.Or(cmp.Compare(a.Hash, b.Hash), cmp.Compare(a.ID, b.ID))
+}
+
+// position finds a server in a list ordered by hash.
 func position(list []*Server, server *Server) (int, bool) {
-	return slices.BinarySearchFunc(list, server, func(a, b *Server) int { return cmp.Compare(a.ID, b.ID) })
+	return slices.BinarySearchFunc(list, server, compareHashes)
 }
 
 // with returns a copy of the list that holds the server.
--- a/internal/flowcontrol/demand.go
+++ b/internal/flowcontrol/demand.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"maps"
+	"math"
 	"slices"
 	"strings"
 	"sync"
@@ -16,6 +17,14 @@
 	demandLife = 10 * time.Second
 	// maxDemandAccounts bounds the client accounts told of in one pool.
 	maxDemandAccounts = 32
+	// demandGain is the weight of a new value in the smoothed demand.
+	demandGain = 0.1
+	// demandJump is the factor by which a new value must differ to count at once.
+	demandJump = 4
+	// minDemand is the demand, in requests, below which none is told, and
+	// leastTold the least that is told: so few requests vary too much.
+	minDemand = 0.05
+	leastTold = 4
 	// minWindow is the least window of an entry in a pool.
 	minWindow = 1
 )
@@ -24,8 +33,9 @@
 type AccountDemand struct {
 	Account settings.AccountID `cbor:"1,keyasint"`
 	Weight  float64            `cbor:"2,keyasint"`
-	// Requests is the most requests that were in flight and waiting at once.
-	Requests int `cbor:"3,keyasint"`
+	// Requests is the smoothed number of requests in flight and waiting, in
+	// coarse steps.
+	Requests float64 `cbor:"3,keyasint"`
 }
 
 // PoolDemand is the demand on one pool at one entry.
@@ -60,21 +70,45 @@
 	return slices.Sorted(maps.Keys(c.pools))
 }
 
-// Demand returns each account's demand since the last call, the highest first.
+// Demand returns each account's demand, the highest first, and takes the most
+// requests since the last call into it.
 func (q *Queue) Demand() []AccountDemand {
 	var list []AccountDemand
 	for _, f := range q.flows {
-		if f.peak > 0 {
-			list = append(list, AccountDemand{Account: f.account, Weight: f.weight, Requests: f.peak})
+		f.smoothDemand()
+		if f.demand > 0 {
+			list = append(list, AccountDemand{Account: f.account, Weight: f.weight, Requests: f.demand})
 		}
-		f.peak = f.inFlight + len(f.waiting)
 	}
 	slices.SortFunc(list, func(a, b AccountDemand) int {
-		return cmp.Or(b.Requests-a.Requests, strings.Compare(string(a.Account), string(b.Account)))
+		return cmp.Or(cmp.Compare(b.Requests, a.Requests), strings.Compare(string(a.Account), string(b.Account)))
 	})
 	return list[:min(len(list), maxDemandAccounts)]
 }
 
+// smoothDemand follows a jump of the demand at once and else smooths it, and
+// tells it in coarse steps: each change of the shares moves places between
+// entries while the requests that hold them still run.
+func (f *flow) smoothDemand() {
+	peak := float64(f.peak)
+	f.peak = f.inFlight + len(f.waiting)
+	if peak > demandJump*(f.smoothed+1) || peak < f.smoothed/demandJump-1 {
+		f.smoothed = peak
+	}
+	f.smoothed += demandGain * (peak - f.smoothed)
+	switch {
+	case f.smoothed < minDemand:
+		f.demand = 0
+	case f.smoothed > f.demand || f.smoothed < f.demand/demandJump:
+		f.demand = max(leastTold, stepAbove(f.smoothed))
+	}
+}
+
+// stepAbove is the least power of the square root of two that is not below a demand.
+func stepAbove(demand float64) float64 {
+	return math.Exp2(math.Ceil(2*math.Log2(demand)) / 2)
+}
+
 // Shares splits each pool among the entries by their accounts' demand. It is
 // safe for concurrent use.
 type Shares struct {
@@ -98,30 +132,50 @@
 	maps.DeleteFunc(s.heard, func(_ string, h heardDemand) bool { return now.Sub(h.at) > demandLife })
 }
 
-// Window returns an entry's window in a pool of a capacity in requests: of each
+// Share is an entry's part of a pool.
+type Share struct {
+	// Window is the number of requests the entry may have in flight.
+	Window float64
+	// From and To bound the entry's part of every server's capacity, as
+	// fractions from 0 to 1. The parts of the entries adjoin.
+	From float64
+	To   float64
+}
+
+// Share returns an entry's part of a pool of a capacity in requests: of each
 // account's fair part of the pool, the part that its demand at the entry is of
 // its demand everywhere. What no account demands is split evenly.
-func (s *Shares) Window(now time.Time, entry, pool string, capacity float64) float64 {
+func (s *Shares) Share(now time.Time, entry, pool string, capacity float64) Share {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	own := make(map[settings.AccountID]float64)
-	total := make(map[settings.AccountID]AccountDemand)
-	entries := 0
-	for id, h := range s.heard {
-		if now.Sub(h.at) > demandLife {
-			continue
+	demands := s.demandsOn(now, pool)
+	if _, ok := demands[entry]; !ok {
+		demands[entry] = nil
+	}
+	parts, rest := fairParts(capacity, sumByAccount(demands))
+	var share Share
+	sum := 0.0
+	for _, id := range slices.Sorted(maps.Keys(demands)) {
+		window := max(minWindow, rest/float64(len(demands))+windowOf(demands[id], parts))
+		if id == entry {
+			share = Share{Window: window, From: sum, To: sum + window}
 		}
-		entries++
-		for _, a := range h.demand.accounts(pool) {
-			sum := total[a.Account]
-			sum.Account, sum.Weight, sum.Requests = a.Account, a.Weight, sum.Requests+a.Requests
-			total[a.Account] = sum
-			if id == entry {
-				own[a.Account] = float64(a.Requests)
-			}
+		sum += window
+	}
+	share.From /= sum
+	share.To /= sum
+	return share
+}
+
+// demandsOn returns each entry's demand on a pool.
+func (s *Shares) demandsOn(now time.Time, pool string) map[string][]AccountDemand {
+	demands := make(map[string][]AccountDemand, len(s.heard))
+	for id, h := range s.heard {
+		if now.Sub(h.at) <= demandLife {
+			demands[id] = h.demand.accounts(pool)
 		}
 	}
-	return max(minWindow, splitWindow(capacity, own, total, max(1, entries)))
+	return demands
 }
 
 func (d Demand) accounts(pool string) []AccountDemand {
@@ -133,22 +187,39 @@
 	return nil
 }
 
-// splitWindow adds up the entry's parts of the accounts' fair parts.
-func splitWindow(capacity float64, own map[settings.AccountID]float64, total map[settings.AccountID]AccountDemand, entries int) float64 {
-	parts, rest := fairParts(capacity, total)
-	window := rest / float64(entries)
-	for account, requests := range own {
-		window += parts[account] * requests / float64(total[account].Requests)
+func sumByAccount(demands map[string][]AccountDemand) map[settings.AccountID]AccountDemand {
+	total := make(map[settings.AccountID]AccountDemand)
+	for _, accounts := range demands {
+		for _, a := range accounts {
+			a.Requests += total[a.Account].Requests
+			total[a.Account] = a
+		}
+	}
+	return total
+}
+
+// part is an account's fair part of a pool and its demand everywhere.
+type part struct {
+	capacity float64
+	demand   float64
+}
+
+// windowOf adds up an entry's parts of the accounts' fair parts.
+func windowOf(accounts []AccountDemand, parts map[settings.AccountID]part) float64 {
+	window := 0.0
+	for _, a := range accounts {
+		p := parts[a.Account]
+		window += p.capacity * a.Requests / p.demand
 	}
 	return window
 }
 
 // fairParts splits a capacity by weighted max-min fairness: no account gets
 // more than it demands, and what is left goes to those that demand more.
-func fairParts(capacity float64, total map[settings.AccountID]AccountDemand) (parts map[settings.AccountID]float64, rest float64) {
+func fairParts(capacity float64, total map[settings.AccountID]AccountDemand) (parts map[settings.AccountID]part, rest float64) {
 	order := slices.SortedFunc(maps.Values(total), func(a, b AccountDemand) int {
 		return cmp.Or(
-			cmp.Compare(float64(a.Requests)/a.weight(), float64(b.Requests)/b.weight()),
+			cmp.Compare(a.Requests/a.weight(), b.Requests/b.weight()),
 			strings.Compare(string(a.Account), string(b.Account)),
 		)
 	})
@@ -156,12 +227,13 @@
 	for _, a := range order {
 		weights += a.weight()
 	}
-	parts = make(map[settings.AccountID]float64, len(order))
+	parts = make(map[settings.AccountID]part, len(order))
 	rest = capacity
 	for _, a := range order {
-		part := min(float64(a.Requests), rest*a.weight()/weights)
-		parts[a.Account] = part
-		rest -= part
+		demand := a.Requests
+		fair := min(demand, rest*a.weight()/weights)
+		parts[a.Account] = part{capacity: fair, demand: demand}
+		rest -= fair
 		weights -= a.weight()
 	}
 	return parts, max(0, rest)
--- a/internal/flowcontrol/queue.go
+++ b/internal/flowcontrol/queue.go
@@ -2,7 +2,6 @@
 
 import (
 	"container/heap"
-	"math"
 	"time"
 
 	"github.com/basilrail/basilrail/internal/settings"
@@ -15,6 +14,9 @@
 	maxFlows = 1_024
 	// activeTime is how long a client account counts as active after a request.
 	activeTime = 10 * time.Second
+	// seenTime is how long after a request a part of the window is kept for
+	// the client account to come back.
+	seenTime = 10 * time.Minute
 	// reserveDivisor is the part of the window, as one in so many, kept for
 	// client accounts that use less than their share.
 	reserveDivisor = 16
@@ -86,8 +88,11 @@
 	backlog    int64
 	inFlight   int
 	lastActive time.Time
-	// peak is the most requests in flight and waiting since the last Demand.
-	peak int
+	// peak is the most requests in flight and waiting since the last Demand,
+	// smoothed is that smoothed, and demand what peers are told.
+	peak     int
+	smoothed float64
+	demand   float64
 	// position is the index in the heap; negative while nothing waits.
 	position int
 }
@@ -110,8 +115,10 @@
 	meanCost float64
 	meanHold float64
 
+	// activeWeight is the sum over the active accounts, and seenCount the
+	// number of those seen lately, as of activeAt.
 	activeWeight float64
-	activeCount  int
+	seenCount    int
 	activeAt     time.Time
 }
 
@@ -221,10 +228,10 @@
 
 // Next starts the next item, or returns nil if none may start now.
 func (q *Queue) Next(now time.Time) *Item {
-	if len(q.backlog) == 0 || !q.hasRoomFor(now, q.backlog[0]) {
+	f := q.nextFlow(now)
+	if f == nil {
 		return nil
 	}
-	f := q.backlog[0]
 	item := f.waiting[0]
 	q.pop(f, 0)
 	q.virtual = max(q.virtual, f.start)
@@ -237,6 +244,21 @@
 	return item
 }
 
+// nextFlow returns the account that is furthest behind and has room, or nil.
+func (q *Queue) nextFlow(now time.Time) *flow {
+	var next *flow
+	for _, f := range q.backlog {
+		isBehind := next == nil || f.start < next.start
+		if isBehind && q.hasRoomFor(now, f) {
+			next = f
+		}
+		if next != nil && next == q.backlog[0] {
+			return next
+		}
+	}
+	return next
+}
+
 // pop removes the waiting item at an index.
 func (q *Queue) pop(f *flow, at int) {
 	f.backlog -= f.waiting[at].Cost
@@ -265,13 +287,13 @@
 	return free >= 1+q.reserve(now) || float64(f.inFlight) < q.share(now, f)/2
 }
 
-// reserve is the number of places kept for accounts that use less than their share.
+// reserve is the part of the window kept for accounts below their share.
 func (q *Queue) reserve(now time.Time) float64 {
 	q.refreshActive(now)
-	if q.activeCount < 2 || q.window < minReserveWindow {
+	if q.seenCount < 2 || q.window < minReserveWindow {
 		return 0
 	}
-	return math.Ceil(q.window / reserveDivisor)
+	return q.window / reserveDivisor
 }
 
 // share is the account's part of the window among the active accounts.
@@ -280,17 +302,20 @@
 	return q.window * f.weight / max(q.activeWeight, f.weight)
 }
 
-// refreshActive sums up the active accounts, at most once a second.
+// refreshActive sums up the accounts, at most once a second.
 func (q *Queue) refreshActive(now time.Time) {
 	if now.Sub(q.activeAt) < time.Second {
 		return
 	}
 	q.activeAt = now
-	q.activeWeight, q.activeCount = 0, 0
+	q.activeWeight, q.seenCount = 0, 0
 	for _, f := range q.flows {
-		if f.inFlight > 0 || now.Sub(f.lastActive) <= activeTime {
+		idle := now.Sub(f.lastActive)
+		if f.inFlight > 0 || idle <= activeTime {
 			q.activeWeight += f.weight
-			q.activeCount++
+		}
+		if idle <= seenTime {
+			q.seenCount++
 		}
 	}
 }
--- a/internal/flowcontrol/queue_test.go
+++ b/internal/flowcontrol/queue_test.go
@@ -99,6 +99,60 @@
 	assert.Equal(t, 32, q.InFlight())
 }
 
+func TestQueueKeepsAPlaceForAnAccountThatPauses(t *testing.T) {
+	q := NewQueue(32)
+	offer(t, q, "t/small", 1, 10)
+	q.Finish(start, q.Next(start), 10)
+	later := start.Add(time.Minute)
+	for range 100 {
+		require.NoError(t, q.Offer(later, &Item{Ticket: Ticket{Account: "t/large", Cost: 1_000}}))
+	}
+	for q.Next(later) != nil {
+	}
+	assert.Less(t, q.InFlight(), 32)
+}
+
+func TestQueueServesALaterRequestOfASmallAccount(t *testing.T) {
+	q := NewQueue(32)
+	offer(t, q, "t/small", 1, 50_000)
+	require.NotNil(t, q.Next(start))
+	for range 200 {
+		offer(t, q, "t/large", 1, 1_000)
+	}
+	for q.Next(start) != nil {
+	}
+	offer(t, q, "t/small", 1, 10)
+	require.NotNil(t, q.Next(start), "the kept place is for it though the large account is further behind")
+}
+
+func TestQueueDemand(t *testing.T) {
+	q := NewQueue(0)
+	var items []*Item
+	step := func(waiting int) float64 {
+		for len(items) < waiting {
+			items = append(items, offer(t, q, "t/a", 1, 1))
+		}
+		for len(items) > waiting {
+			require.True(t, q.Remove(items[len(items)-1]))
+			items = items[:len(items)-1]
+		}
+		q.Demand()
+		if list := q.Demand(); len(list) > 0 {
+			return list[0].Requests
+		}
+		return 0
+	}
+
+	assert.Equal(t, 4.0, step(2), "few requests count as four")
+	assert.Equal(t, 4.0, step(3), "and a small change is not told")
+	assert.InDelta(t, 200, step(200), 90, "a jump is told at once")
+	assert.Less(t, step(1), 5.0, "and so is its end")
+	for range 100 {
+		step(0)
+	}
+	assert.Zero(t, step(0))
+}
+
 func TestQueueBoundsAnAccount(t *testing.T) {
 	q := NewQueue(0)
 	for range maxWaiting {
@@ -124,7 +178,7 @@
 	assert.LessOrEqual(t, len(q.flows), maxFlows)
 }
 
-func TestSharesWindow(t *testing.T) {
+func TestShares(t *testing.T) {
 	demandOf := func(accounts ...AccountDemand) Demand {
 		return Demand{Pools: []PoolDemand{{Pool: "p", Accounts: accounts}}}
 	}
@@ -150,7 +204,7 @@
 			for entry, d := range test.demands {
 				shares.Hear(start, entry, d)
 			}
-			assert.InDelta(t, test.want, shares.Window(start, "a", "p", 100), 0.01)
+			assert.InDelta(t, test.want, shares.Share(start, "a", "p", 100).Window, 0.01)
 		})
 	}
 
@@ -159,6 +213,6 @@
 		shares.Hear(start, "b", demandOf(flood))
 		later := start.Add(demandLife + time.Second)
 		shares.Hear(later, "a", demandOf(few))
-		assert.InDelta(t, 100, shares.Window(later, "a", "p", 100), 0.01)
+		assert.InDelta(t, 100, shares.Share(later, "a", "p", 100).Window, 0.01)
 	})
 }
--- /dev/null
+++ b/internal/measure/admitter.go
@@ -0,0 +1,99 @@
+package measure
+
+import (
+	"time"
+
+	"github.com/basilrail/basilrail/internal/flowcontrol"
+)
+
+// started is a request that may go to a server.
+type started struct {
+	arrival  *arrival
+	priority flowcontrol.Priority
+	item     *flowcontrol.Item
+}
+
+// admitter decides when an entry's requests start.
+type admitter interface {
+	offer(now time.Time, a *arrival) bool
+	next(now time.Time) (started, bool)
+	finish(now time.Time, s started)
+	demand() flowcontrol.Demand
+	setWindow(window float64)
+}
+
+func newAdmitter(fair bool, window float64) admitter {
+	if fair {
+		return &fairAdmitter{queue: flowcontrol.NewQueue(window), items: make(map[*flowcontrol.Item]*arrival)}
+	}
+	return &fifoAdmitter{window: int(window)}
+}
+
+// fairAdmitter is the project's queue.
+type fairAdmitter struct {
+	queue *flowcontrol.Queue
+	items map[*flowcontrol.Item]*arrival
+}
+
+func (f *fairAdmitter) offer(now time.Time, a *arrival) bool {
+	item := &flowcontrol.Item{Ticket: flowcontrol.Ticket{Account: a.account, Cost: a.tokens(), Pool: poolName}}
+	if f.queue.Offer(now, item) != nil {
+		return false
+	}
+	f.items[item] = a
+	return true
+}
+
+func (f *fairAdmitter) next(now time.Time) (started, bool) {
+	item := f.queue.Next(now)
+	if item == nil {
+		return started{}, false
+	}
+	a := f.items[item]
+	delete(f.items, item)
+	return started{arrival: a, priority: item.Priority, item: item}, true
+}
+
+func (f *fairAdmitter) finish(now time.Time, s started) {
+	f.queue.Finish(now, s.item, s.arrival.tokens())
+}
+
+func (f *fairAdmitter) demand() flowcontrol.Demand {
+	return flowcontrol.Demand{Pools: []flowcontrol.PoolDemand{{Pool: poolName, Accounts: f.queue.Demand()}}}
+}
+
+func (f *fairAdmitter) setWindow(window float64) { f.queue.SetWindow(window) }
+
+// maxFIFO bounds the first come, first served queue of an entry.
+const maxFIFO = 256
+
+// fifoAdmitter serves first come, first served, in an equal part of the pool.
+type fifoAdmitter struct {
+	window   int
+	inFlight int
+	waiting  []*arrival
+}
+
+func (f *fifoAdmitter) offer(_ time.Time, a *arrival) bool {
+	if len(f.waiting) >= maxFIFO {
+		return false
+	}
+	f.waiting = append(f.waiting, a)
+	return true
+}
+
+func (f *fifoAdmitter) next(time.Time) (started, bool) {
+	if len(f.waiting) == 0 || f.inFlight >= f.window {
+		return started{}, false
+	}
+	a := f.waiting[0]
+	f.waiting = f.waiting[1:]
+	f.inFlight++
+	return started{arrival: a}, true
+}
+
+func (f *fifoAdmitter) finish(time.Time, started) { f.inFlight-- }
+
+func (f *fifoAdmitter) demand() flowcontrol.Demand { return flowcontrol.Demand{} }
+
+func (f *fifoAdmitter) setWindow(float64) {}
--- a/internal/measure/cascade_policies.go
+++ b/internal/measure/cascade_policies.go
@@ -110,14 +110,8 @@
 func (p *planned) serve(r *cascadeRequest) (float64, bool) {
 	p.tellEachOther(r.at)
 	planner := p.planners[r.entry]
-	plan := planner.Plan(r.at, p.snap, cascade.Query{
-		Account: r.account, Task: r.task,
-		Versions:    []settings.VersionRef{cheapVersion, dearVersion},
-		InputTokens: r.inputTokens, OutputTokens: r.outputTokens,
-		Target: qualityTarget,
-	}, p.rng)
 	var spent float64
-	for _, step := range plan.Steps {
+	for _, step := range p.plan(r).Steps {
 		spent += price(p.snap, step.Ref, r)
 		passed := (step.Judge || step.Sample) && p.rate(planner, r, step)
 		if !step.Judge || passed {
@@ -127,6 +121,15 @@
 	return spent, false
 }
 
+func (p *planned) plan(r *cascadeRequest) cascade.Plan {
+	return p.planners[r.entry].Plan(r.at, p.snap, cascade.Query{
+		Account: r.account, Task: r.task,
+		Versions:    cascadeVersions,
+		InputTokens: r.inputTokens, OutputTokens: r.outputTokens,
+		Target: qualityTarget,
+	}, p.rng)
+}
+
 func (r *cascadeRequest) acceptable(ref settings.VersionRef) bool {
 	if ref == cheapVersion {
 		return r.cheapOK
--- a/internal/measure/cascade_workload.go
+++ b/internal/measure/cascade_workload.go
@@ -29,6 +29,8 @@
 var (
 	cheapVersion = settings.VersionRef{Model: "small", Version: "v1"}
 	dearVersion  = settings.VersionRef{Model: "large", Version: "v1"}
+
+	cascadeVersions = []settings.VersionRef{cheapVersion, dearVersion}
 )
 
 // cascadeSettings prices the dear version at ten times the cheap one.
--- /dev/null
+++ b/internal/measure/pool.go
@@ -0,0 +1,276 @@
+package measure
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"time"
+
+	"github.com/basilrail/basilrail/internal/datastore"
+	"github.com/basilrail/basilrail/internal/flowcontrol"
+	"github.com/basilrail/basilrail/internal/scheduling"
+	"github.com/basilrail/basilrail/internal/settings"
+)
+
+const (
+	poolServers  = 18
+	poolEntries  = 8
+	poolCapacity = 8
+	poolName     = "large@v1"
+	// hop is the time from an entry to a backend server, one way.
+	hop = time.Millisecond
+	// reportInterval and reportLag are how often and how late engines report load.
+	reportInterval = time.Second
+	reportLag      = 500 * time.Millisecond
+	// demandInterval is the time between an entry's messages about demand.
+	demandInterval = 2 * time.Second
+	// warmUp is left out of the figures.
+	warmUp = 30 * time.Second
+	// runTime is the length of a run.
+	runTime = 30 * time.Minute
+	// firstTokenTarget is the time to first token that counts as in time.
+	firstTokenTarget = 1300 * time.Millisecond
+)
+
+// arrival is one request of a client account.
+type arrival struct {
+	at      time.Time
+	account settings.AccountID
+	entry   int
+	input   int
+	output  int
+}
+
+func (a *arrival) tokens() int64 { return int64(a.input + a.output) }
+
+// arrivals draws a client account's requests at a rate per second.
+func arrivals(account settings.AccountID, perSecond float64, seed uint64) []arrival {
+	rng := rand.New(rand.NewPCG(seed, uint64(perSecond*1_000)))
+	var list []arrival
+	at := time.Unix(0, 0)
+	for {
+		at = at.Add(time.Duration(rng.ExpFloat64() * float64(time.Second) / perSecond))
+		if at.Sub(time.Unix(0, 0)) > runTime {
+			return list
+		}
+		list = append(list, arrival{
+			at: at, account: account, entry: rng.IntN(poolEntries),
+			input:  1 + int(400*math.Exp(0.7*rng.NormFloat64())),
+			output: 1 + int(150*math.Exp(0.5*rng.NormFloat64())),
+		})
+	}
+}
+
+// poolOptions is what varies between runs.
+type poolOptions struct {
+	fair bool
+	// declared is the capacity that the settings declare for a server.
+	declared int
+	// slowdown stretches the engines' steps; 1 is the normal speed.
+	slowdown float64
+	// adaptive adjusts the windows by what is observed.
+	adaptive bool
+}
+
+// poolResult is what a run observed after the warm-up.
+type poolResult struct {
+	// firstTokens are the times to first token by client account.
+	firstTokens map[settings.AccountID][]time.Duration
+	// tokens counts those of answers that ended, and inTime those of answers
+	// whose first token was in time.
+	tokens  int64
+	inTime  int64
+	refused int
+}
+
+// poolRun is one run of entries before a pool of engines.
+type poolRun struct {
+	poolOptions
+	sim     *simulation
+	rng     *rand.Rand
+	engines map[string]*engine
+	order   []string
+	entries []*poolEntry
+	result  poolResult
+	seq     int
+}
+
+// poolEntry is one entry instance.
+type poolEntry struct {
+	id     string
+	store  *datastore.Store
+	queue  admitter
+	shares *flowcontrol.Shares
+	limit  *adaptiveWindow
+	slice  scheduling.Slice
+}
+
+func runPool(options poolOptions, seed uint64, lists ...[]arrival) *poolResult {
+	r := &poolRun{
+		poolOptions: options,
+		sim:         &simulation{now: time.Unix(0, 0)},
+		rng:         rand.New(rand.NewPCG(seed, 72)),
+		engines:     make(map[string]*engine),
+		result:      poolResult{firstTokens: make(map[settings.AccountID][]time.Duration)},
+	}
+	r.addEngines()
+	r.addEntries()
+	for _, list := range lists {
+		r.feed(list)
+	}
+	r.every(reportInterval, r.report)
+	r.every(demandInterval, r.exchangeDemand)
+	r.sim.runUntil(time.Unix(0, 0).Add(runTime))
+	return &r.result
+}
+
+func (r *poolRun) addEngines() {
+	for i := range poolServers {
+		id := fmt.Sprintf("server-%02d", i)
+		r.order = append(r.order, id)
+		r.engines[id] = &engine{
+			sim: r.sim, capacity: poolCapacity, slowdown: r.slowdown, honoursPriority: r.fair,
+		}
+	}
+}
+
+func (r *poolRun) addEntries() {
+	tree := settings.Tree{Servers: make(map[string]settings.Server)}
+	for _, id := range r.order {
+		tree.Servers[id] = settings.Server{Models: []string{dearVersion.Model}, Capacity: r.declared}
+	}
+	for i := range poolEntries {
+		entry := &poolEntry{
+			id: fmt.Sprintf("entry-%d", i), store: datastore.New(), shares: flowcontrol.NewShares(),
+			limit: newAdaptiveWindow(),
+		}
+		entry.store.SetSettings(settings.Compile(1, tree))
+		for _, id := range r.order {
+			entry.store.SetStatus(id, datastore.Status{Versions: []settings.VersionRef{dearVersion}})
+		}
+		entry.queue = newAdmitter(r.fair, float64(poolServers*r.declared)/poolEntries)
+		r.entries = append(r.entries, entry)
+	}
+}
+
+// feed schedules a list of arrivals, one after the other.
+func (r *poolRun) feed(list []arrival) {
+	if len(list) == 0 {
+		return
+	}
+	r.sim.after(list[0].at.Sub(r.sim.now), func() {
+		r.arrive(&list[0])
+		r.feed(list[1:])
+	})
+}
+
+func (r *poolRun) every(interval time.Duration, run func()) {
+	r.sim.after(interval, func() {
+		run()
+		r.every(interval, run)
+	})
+}
+
+func (r *poolRun) arrive(a *arrival) {
+	entry := r.entries[a.entry]
+	if !entry.queue.offer(r.sim.now, a) {
+		if r.isMeasured() {
+			r.result.refused++
+		}
+		return
+	}
+	r.start(entry)
+}
+
+func (r *poolRun) isMeasured() bool { return r.sim.now.Sub(time.Unix(0, 0)) >= warmUp }
+
+// start sends everything that may start now.
+func (r *poolRun) start(entry *poolEntry) {
+	for {
+		started, ok := entry.queue.next(r.sim.now)
+		if !ok {
+			return
+		}
+		r.send(entry, started)
+	}
+}
+
+func (r *poolRun) send(entry *poolEntry, s started) {
+	a := s.arrival
+	decision, err := scheduling.Pick(entry.store.Snapshot(), scheduling.Request{
+		Version: dearVersion, Tokens: a.tokens(), Now: r.sim.now, Slice: entry.slice,
+	}, r.rng)
+	if err != nil {
+		// Every server of the fake pool is always up.
+		panic(err)
+	}
+	decision.Server.Begin(a.tokens())
+	r.seq++
+	sentAt := r.sim.now
+	var inTime bool
+	j := &job{seq: r.seq, priority: s.priority, input: a.input, output: a.output}
+	j.first = func() {
+		ttft := r.sim.now.Add(hop).Sub(a.at)
+		inTime = ttft <= firstTokenTarget
+		entry.limit.observe(r.sim.now.Add(hop).Sub(sentAt) <= firstTokenTarget)
+		if r.isMeasured() {
+			r.result.firstTokens[a.account] = append(r.result.firstTokens[a.account], ttft)
+		}
+	}
+	j.done = func() {
+		decision.Server.End(a.tokens())
+		entry.queue.finish(r.sim.now, s)
+		r.countDone(a, inTime)
+		r.start(entry)
+	}
+	r.sim.after(hop, func() { r.engines[decision.Server.ID].submit(j) })
+}
+
+func (r *poolRun) countDone(a *arrival, inTime bool) {
+	if !r.isMeasured() {
+		return
+	}
+	r.result.tokens += a.tokens()
+	if inTime {
+		r.result.inTime += a.tokens()
+	}
+}
+
+// report sends every engine's load to the entries, late.
+func (r *poolRun) report() {
+	for _, id := range r.order {
+		queued, running := r.engines[id].load()
+		r.sim.after(reportLag, func() {
+			for _, entry := range r.entries {
+				entry.store.SetStatus(id, datastore.Status{
+					Versions: []settings.VersionRef{dearVersion}, QueuedTokens: queued, RunningTokens: running,
+					ReportedAt: r.sim.now,
+				})
+			}
+		})
+	}
+}
+
+// exchangeDemand tells every entry the others' demand and sets the windows.
+func (r *poolRun) exchangeDemand() {
+	demands := make([]flowcontrol.Demand, len(r.entries))
+	for i, entry := range r.entries {
+		demands[i] = entry.queue.demand()
+	}
+	for _, entry := range r.entries {
+		for i, from := range r.entries {
+			entry.shares.Hear(r.sim.now, from.id, demands[i])
+		}
+		share := entry.shares.Share(r.sim.now, entry.id, poolName, float64(poolServers*r.declared))
+		factor := 1.0
+		if r.adaptive {
+			factor = entry.limit.current()
+		}
+		if r.fair {
+			entry.slice = scheduling.Slice{From: share.From * factor, To: share.To * factor}
+			servers := entry.store.Snapshot().ForVersion(dearVersion)
+			entry.queue.setWindow(float64(entry.slice.Places(servers)))
+		}
+		r.start(entry)
+	}
+}
--- /dev/null
+++ b/internal/measure/window.go
@@ -0,0 +1,61 @@
+package measure
+
+import "fmt"
+
+func init() { Register(30, "window", measureWindow) }
+
+// windowCase is a pool in which the declared capacity is more or less right.
+type windowCase struct {
+	desc     string
+	declared int
+	slowdown float64
+}
+
+// measureWindow compares the adaptive admission window with the fixed one,
+// which is in use. docs/design/fair-shares.md draws the conclusion.
+func measureWindow(seed uint64) []Row {
+	cases := []windowCase{
+		{desc: "capacity declared right", declared: poolCapacity, slowdown: 1},
+		{desc: "engines at a third of their speed", declared: poolCapacity, slowdown: 3},
+		{desc: "capacity declared twice too high", declared: 2 * poolCapacity, slowdown: 1},
+		{desc: "capacity declared half of what it is", declared: poolCapacity / 2, slowdown: 1},
+	}
+	rows := make([]Row, 0, len(cases))
+	for _, c := range cases {
+		rows = append(rows, c.row(seed))
+	}
+	return rows
+}
+
+func (c windowCase) row(seed uint64) Row {
+	small := arrivals(smallAccount, smallRate, seed)
+	flood := arrivals(largeAccount, floodRate, seed)
+	options := poolOptions{fair: true, declared: c.declared, slowdown: c.slowdown}
+	fixed := runPool(options, seed, small, flood)
+	options.adaptive = true
+	adaptive := runPool(options, seed, small, flood)
+	return Row{
+		Name:     "admission window, " + c.desc,
+		Baseline: "adaptive " + adaptive.summary(),
+		Ours:     "fixed " + fixed.summary(),
+		Target:   "no worse than adaptive in both",
+		Pass:     !adaptive.beats(fixed),
+	}
+}
+
+func (r *poolResult) summary() string {
+	perSecond := float64(r.tokens) / (runTime - warmUp).Seconds()
+	return fmt.Sprintf("%s, %.0f tokens/s", round(percentile95(r.firstTokens[smallAccount])), perSecond)
+}
+
+// beats tells whether a result is better in one of the small client account's
+// p95 time to first token and the goodput, by more than noise, and not worse
+// in the other.
+func (r *poolResult) beats(other *poolResult) bool {
+	const noise = 0.05
+	time := float64(percentile95(r.firstTokens[smallAccount])) / float64(percentile95(other.firstTokens[smallAccount]))
+	goodput := float64(r.tokens) / float64(other.tokens)
+	isBetter := time < 1-noise || goodput > 1+noise
+	isWorse := time > 1+noise || goodput < 1-noise
+	return isBetter && !isWorse
+}
--- a/internal/scheduling/scheduling.go
+++ b/internal/scheduling/scheduling.go
@@ -1,12 +1,15 @@
 // Package scheduling picks the backend server of one attempt. Filters drop the
-// servers that must not get it, a Scorer estimates the load of the rest, and
-// the first Picker with an answer chooses. All read an immutable snapshot; the
+// servers that must not get it, Preferences those that others are better than,
+// a Scorer estimates the load of the rest, and the first Picker with an answer
+// chooses. All read an immutable snapshot; the
 // work is bounded whatever the number of servers.
 package scheduling
 
 import (
+	"cmp"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -14,8 +17,13 @@
 	"github.com/basilrail/basilrail/internal/settings"
 )
 
-// maxConsidered bounds the servers that one decision looks at.
-const maxConsidered = 64
+const (
+	// maxConsidered is the number of servers up to which a decision looks at
+	// all of them.
+	maxConsidered = 32
+	// windowSize is the number of servers it looks at where there are more.
+	windowSize = 8
+)
 
 // maxCandidates bounds the candidates that a Decision tells of.
 const maxCandidates = 8
@@ -32,6 +40,8 @@
 	PrefixHash uint64
 	// Excluded names servers that must not get this attempt.
 	Excluded []string
+	// Slice is this entry's part of each server's capacity.
+	Slice Slice
 	// FailureDomain is the entry's own.
 	FailureDomain string
 	// Now is the time of the decision, from which the age of reports counts.
@@ -61,6 +71,11 @@
 	Reject(req *Request, e *Entry) Reason
 }
 
+// Preference drops servers as long as others remain.
+type Preference interface {
+	IsPreferred(req *Request, e *Entry) bool
+}
+
 // Scorer estimates loads.
 type Scorer interface {
 	// Score sets the Load of every entry.
@@ -96,6 +111,7 @@
 	RejectedExcluded    Reason = "excluded by the request"
 	RejectedLeaving     Reason = "leaving"
 	RejectedDown        Reason = "down"
+	RejectedWindow      Reason = "over this entry's share of the server"
 	RejectedHigherLoad  Reason = "higher load of two"
 	RejectedEqual       Reason = "equal load, drawn second"
 	RejectedDomain      Reason = "equal load, other failure domain"
@@ -137,16 +153,18 @@
 
 // Profile is a set of plugins.
 type Profile struct {
-	Filters []Filter
-	Scorer  Scorer
-	Pickers []Picker
+	Filters     []Filter
+	Preferences []Preference
+	Scorer      Scorer
+	Pickers     []Picker
 }
 
 // Default is the profile of the entry instances.
 var Default = Profile{
-	Filters: []Filter{ExcludedFilter{}, LeavingFilter{}, DownFilter{}},
-	Scorer:  LoadScorer{},
-	Pickers: []Picker{PrefixPicker{}, TwoChoicesPicker{}},
+	Filters:     []Filter{ExcludedFilter{}, LeavingFilter{}, DownFilter{}},
+	Preferences: []Preference{WindowPreference{}},
+	Scorer:      LoadScorer{},
+	Pickers:     []Picker{PrefixPicker{}, TwoChoicesPicker{}},
 }
 
 // Pick chooses a server with the Default profile. The error is a *NoServerError.
@@ -183,6 +201,7 @@
 		return Decision{}, &NoServerError{Target: req.target(), Candidates: rejected, Considered: considered}
 	}
 	p.Scorer.Score(&w.req, w.entries)
+	p.prefer(w)
 	decision := w.decide(p.choose(w, rng))
 	decision.Considered = considered
 	return decision, nil
@@ -190,7 +209,7 @@
 
 // free drops all references and gives the workspace back.
 func (w *workspace) free() {
-	clear(w.entries)
+	clear(w.entries[:cap(w.entries)])
 	clear(w.rejected)
 	w.req = Request{}
 	w.entries = w.entries[:0]
@@ -205,27 +224,32 @@
 	if n == 0 {
 		return 0
 	}
-	start := windowStart(w.req.PrefixHash, n, rng)
+	start, size := window(w.req.PrefixHash, servers, rng)
 	for i := range n {
-		if i >= maxConsidered && len(w.entries) > 0 {
+		if i >= size && len(w.entries) > 0 {
 			return i
 		}
-		server := servers[(start+i)%n]
-		p.consider(w, server)
+		p.consider(w, servers[(start+i)%n])
 	}
 	return n
 }
 
-// windowStart is the same in every entry for the same prefix, so that affinity
-// holds across entries; without a prefix it is random.
-func windowStart(prefix uint64, n int, rng *rand.Rand) int {
+// window returns the part of the list to look at. Its start is the same in
+// every entry for the same prefix, so that affinity holds across entries, and
+// random without a prefix. The list is in the order of the servers' hashes, so
+// that a server that comes or goes moves few prefixes.
+func window(prefix uint64, servers []*datastore.Server, rng *rand.Rand) (start, size int) {
+	n := len(servers)
 	if n <= maxConsidered {
-		return 0
+		return 0, n
 	}
-	if prefix != 0 {
-		return int(datastore.Mix(prefix) % uint64(n))
+	if prefix == 0 {
+		return rng.IntN(n), windowSize
 	}
-	return rng.IntN(n)
+	start, _ = slices.BinarySearchFunc(servers, datastore.Mix(prefix), func(s *datastore.Server, hash uint64) int {
+		return cmp.Compare(s.Hash, hash)
+	})
+	return start % n, windowSize
 }
 
 // consider adds a server to the entries unless a filter rejects it.
@@ -244,6 +268,27 @@
 	}
 }
 
+// prefer moves the preferred entries to the front and drops the others, unless
+// none would remain.
+func (p *Profile) prefer(w *workspace) {
+	for _, preference := range p.Preferences {
+		kept := 0
+		for i := range w.entries {
+			if preference.IsPreferred(&w.req, &w.entries[i]) {
+				w.entries[kept], w.entries[i] = w.entries[i], w.entries[kept]
+				kept++
+			}
+		}
+		if kept == 0 {
+			continue
+		}
+		for i := kept; i < len(w.entries); i++ {
+			w.reject(w.candidate(i, RejectedWindow))
+		}
+		w.entries = w.entries[:kept]
+	}
+}
+
 func (w *workspace) reject(c Candidate) {
 	if len(w.rejected) < maxCandidates {
 		w.rejected = append(w.rejected, c)
--- a/internal/scheduling/scheduling_test.go
+++ b/internal/scheduling/scheduling_test.go
@@ -128,6 +128,15 @@
 	assert.Equal(t, map[string]int{serverID(1): 1_000}, counts)
 }
 
+// affine returns the server that a prefix goes to.
+func affine(t *testing.T, store *datastore.Store, prefix uint64) string {
+	t.Helper()
+	req := Request{Version: testVersion, Tokens: 100, PrefixHash: prefix, Now: testNow}
+	decision, err := Pick(store.Snapshot(), req, rand.New(rand.NewPCG(1, 2)))
+	require.NoError(t, err)
+	return decision.Server.ID
+}
+
 func TestPrefixAffinity(t *testing.T) {
 	req := Request{Version: testVersion, Tokens: 100, PrefixHash: 42, Now: testNow}
 
@@ -137,6 +146,16 @@
 	t.Run("is the same in every entry at 10,000 servers", func(t *testing.T) {
 		assert.Len(t, picks(t, newStore(10_000), req), 1)
 	})
+	t.Run("moves with few prefixes when a server goes", func(t *testing.T) {
+		moved := 0
+		all, oneLess := newStore(1_000), newStore(999)
+		for prefix := range uint64(1_000) {
+			if affine(t, all, prefix+1) != affine(t, oneLess, prefix+1) {
+				moved++
+			}
+		}
+		assert.Less(t, moved, 50)
+	})
 	t.Run("yields to load", func(t *testing.T) {
 		store := newStore(18)
 		rng := rand.New(rand.NewPCG(1, 2))
@@ -152,6 +171,43 @@
 	})
 }
 
+func TestSlicesOfAllEntriesMakeUpTheCapacity(t *testing.T) {
+	const capacity, servers, entries = 8, 100, 7
+	store := newStore(servers)
+	list := store.Snapshot().Watched()
+	for _, server := range list {
+		server.Settings.Capacity = capacity
+	}
+	total := make(map[string]int64)
+	for e := range entries {
+		slice := Slice{From: float64(e) / entries, To: float64(e+1) / entries}
+		assert.InDelta(t, capacity*servers/entries, slice.Places(list), capacity*servers/entries*0.1)
+		for _, server := range list {
+			total[server.ID] += slice.placesOn(server)
+		}
+	}
+	for id, places := range total {
+		assert.EqualValues(t, capacity, places, id)
+	}
+}
+
+func TestPickKeepsToTheSlice(t *testing.T) {
+	store := newStore(4)
+	req := Request{Version: testVersion, Tokens: 100, Slice: Slice{To: 1}, Now: testNow}
+	rng := rand.New(rand.NewPCG(1, 2))
+	for range 4 {
+		decision, err := Pick(store.Snapshot(), req, rng)
+		require.NoError(t, err)
+		decision.Server.Begin(1)
+	}
+	for _, server := range store.Snapshot().Watched() {
+		requests, _ := server.InFlight()
+		assert.EqualValues(t, 1, requests, "a place on each server")
+	}
+	_, err := Pick(store.Snapshot(), req, rng)
+	require.NoError(t, err, "a preference leaves a choice where none is left")
+}
+
 func TestSubset(t *testing.T) {
 	const servers, size, entries = 1_000, 64, 200
 	subsetOf := func(entry string, n int) map[string]bool {
--- a/internal/scheduling/scorer_load.go
+++ b/internal/scheduling/scorer_load.go
@@ -1,8 +1,9 @@
 package scheduling
 
 import (
-	"math"
 	"time"
+
+	"github.com/basilrail/basilrail/internal/datastore"
 )
 
 const (
@@ -48,7 +49,7 @@
 		return 0, 0
 	}
 	age := max(0, now.Sub(e.Status.ReportedAt))
-	weight = math.Exp2(-age.Seconds() / reportHalfLife.Seconds())
+	weight = float64(reportHalfLife) / float64(reportHalfLife+age)
 	return min(maxReported, float64(max(0, reported-own))/capacity(e)), weight
 }
 
@@ -57,7 +58,9 @@
 	return float64(tokens) / capacity(e)
 }
 
-func capacity(e *Entry) float64 { return float64(max(1, e.Server.Settings.Capacity)) }
+func capacity(e *Entry) float64 { return serverCapacity(e.Server) }
+
+func serverCapacity(s *datastore.Server) float64 { return float64(max(1, s.Settings.Capacity)) }
 
 // meanWithoutHighest is the weighted mean of the loads, the highest left out
 // where there is more than one.
