Hand out an entry's share with each grant

The gateway needs the slice of every server together with the window that the request was started under. Demand is smoothed over time and no longer over calls, so that the interval of the messages is free to choose.

--- a/internal/flowcontrol/controller.go
+++ b/internal/flowcontrol/controller.go
@@ -44,6 +44,7 @@
 type pool struct {
 	mu    sync.Mutex
 	queue *Queue
+	share Share
 }
 
 // New makes a Controller without pools.
@@ -52,10 +53,16 @@
 // SetWindow sets how many requests this entry may have in flight in a pool,
 // and starts what now may start.
 func (c *Controller) SetWindow(name string, window float64) {
+	c.SetShare(name, Share{Window: window})
+}
+
+// SetShare sets this entry's part of a pool, and starts what now may start.
+func (c *Controller) SetShare(name string, share Share) {
 	p := c.pool(name)
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.queue.SetWindow(window)
+	p.share = share
+	p.queue.SetWindow(share.Window)
 	p.startWaiting(time.Now())
 }
 
@@ -75,6 +82,8 @@
 type Grant struct {
 	// Priority is what to tell the engine.
 	Priority Priority
+	// Share is this entry's part of the pool when the request started.
+	Share Share
 	// Waited is how long the request was queued.
 	Waited time.Duration
 
@@ -99,7 +108,13 @@
 	if err := p.wait(ctx, item); err != nil {
 		return nil, err
 	}
-	return &Grant{Priority: item.Priority, Waited: time.Since(offered), pool: p, item: item}, nil
+	return p.grant(item, time.Since(offered)), nil
+}
+
+func (p *pool) grant(item *Item, waited time.Duration) *Grant {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return &Grant{Priority: item.Priority, Share: p.share, Waited: waited, pool: p, item: item}
 }
 
 func (p *pool) offer(now time.Time, item *Item) error {
--- a/internal/flowcontrol/controller_test.go
+++ b/internal/flowcontrol/controller_test.go
@@ -95,8 +95,11 @@
 			result <- err
 		}()
 		synctest.Wait()
-		c.SetWindow("p", 1)
+		c.SetShare("p", Share{Window: 2, From: 0.25, To: 0.5})
 		require.NoError(t, <-result)
+		g, err := c.Acquire(t.Context(), Ticket{Account: "t/small", Cost: 100, Pool: "p"})
+		require.NoError(t, err)
+		assert.Equal(t, Share{Window: 2, From: 0.25, To: 0.5}, g.Share)
 	})
 }
 
--- a/internal/flowcontrol/demand.go
+++ b/internal/flowcontrol/demand.go
@@ -17,8 +17,8 @@
 	demandLife = 10 * time.Second
 	// maxDemandAccounts bounds the client accounts told of in one pool.
 	maxDemandAccounts = 32
-	// demandGain is the weight of a new value in the smoothed demand.
-	demandGain = 0.1
+	// demandTime is the time over which demand is smoothed.
+	demandTime = 20 * time.Second
 	// demandJump is the factor by which a new value must differ to count at once.
 	demandJump = 4
 	// minDemand is the demand, in requests, below which none is told, and
@@ -55,7 +55,7 @@
 	for _, name := range c.poolNames() {
 		p := c.pool(name)
 		p.mu.Lock()
-		accounts := p.queue.Demand()
+		accounts := p.queue.Demand(time.Now())
 		p.mu.Unlock()
 		if len(accounts) > 0 {
 			d.Pools = append(d.Pools, PoolDemand{Pool: name, Accounts: accounts})
@@ -72,10 +72,12 @@
 
 // Demand returns each account's demand, the highest first, and takes the most
 // requests since the last call into it.
-func (q *Queue) Demand() []AccountDemand {
+func (q *Queue) Demand(now time.Time) []AccountDemand {
+	elapsed := min(demandTime, now.Sub(q.demandAt))
+	q.demandAt = now
 	var list []AccountDemand
 	for _, f := range q.flows {
-		f.smoothDemand()
+		f.smoothDemand(elapsed)
 		if f.demand > 0 {
 			list = append(list, AccountDemand{Account: f.account, Weight: f.weight, Requests: f.demand})
 		}
@@ -89,13 +91,14 @@
 // smoothDemand follows a jump of the demand at once and else smooths it, and
 // tells it in coarse steps: each change of the shares moves places between
 // entries while the requests that hold them still run.
-func (f *flow) smoothDemand() {
+func (f *flow) smoothDemand(elapsed time.Duration) {
 	peak := float64(f.peak)
 	f.peak = f.inFlight + len(f.waiting)
 	if peak > demandJump*(f.smoothed+1) || peak < f.smoothed/demandJump-1 {
 		f.smoothed = peak
 	}
-	f.smoothed += demandGain * (peak - f.smoothed)
+	gain := elapsed.Seconds() / (elapsed + demandTime).Seconds()
+	f.smoothed += gain * (peak - f.smoothed)
 	switch {
 	case f.smoothed < minDemand:
 		f.demand = 0
@@ -167,6 +170,11 @@
 	return share
 }
 
+// Window returns the Window of an entry's Share.
+func (s *Shares) Window(now time.Time, entry, pool string, capacity float64) float64 {
+	return s.Share(now, entry, pool, capacity).Window
+}
+
 // demandsOn returns each entry's demand on a pool.
 func (s *Shares) demandsOn(now time.Time, pool string) map[string][]AccountDemand {
 	demands := make(map[string][]AccountDemand, len(s.heard))
--- a/internal/flowcontrol/queue.go
+++ b/internal/flowcontrol/queue.go
@@ -120,6 +120,8 @@
 	activeWeight float64
 	seenCount    int
 	activeAt     time.Time
+	// demandAt is the time of the last Demand.
+	demandAt time.Time
 }
 
 // NewQueue makes a queue with a window of requests in flight.
--- a/internal/flowcontrol/queue_test.go
+++ b/internal/flowcontrol/queue_test.go
@@ -127,6 +127,7 @@
 
 func TestQueueDemand(t *testing.T) {
 	q := NewQueue(0)
+	now := start
 	var items []*Item
 	step := func(waiting int) float64 {
 		for len(items) < waiting {
@@ -136,8 +137,10 @@
 			require.True(t, q.Remove(items[len(items)-1]))
 			items = items[:len(items)-1]
 		}
-		q.Demand()
-		if list := q.Demand(); len(list) > 0 {
+		now = now.Add(2 * time.Second)
+		q.Demand(now)
+		now = now.Add(2 * time.Second)
+		if list := q.Demand(now); len(list) > 0 {
 			return list[0].Requests
 		}
 		return 0
--- a/internal/measure/admitter.go
+++ b/internal/measure/admitter.go
@@ -18,7 +18,7 @@
 	offer(now time.Time, a *arrival) bool
 	next(now time.Time) (started, bool)
 	finish(now time.Time, s started)
-	demand() flowcontrol.Demand
+	demand(now time.Time) flowcontrol.Demand
 	setWindow(window float64)
 }
 
@@ -58,8 +58,8 @@
 	f.queue.Finish(now, s.item, s.arrival.tokens())
 }
 
-func (f *fairAdmitter) demand() flowcontrol.Demand {
-	return flowcontrol.Demand{Pools: []flowcontrol.PoolDemand{{Pool: poolName, Accounts: f.queue.Demand()}}}
+func (f *fairAdmitter) demand(now time.Time) flowcontrol.Demand {
+	return flowcontrol.Demand{Pools: []flowcontrol.PoolDemand{{Pool: poolName, Accounts: f.queue.Demand(now)}}}
 }
 
 func (f *fairAdmitter) setWindow(window float64) { f.queue.SetWindow(window) }
@@ -94,6 +94,6 @@
 
 func (f *fifoAdmitter) finish(time.Time, started) { f.inFlight-- }
 
-func (f *fifoAdmitter) demand() flowcontrol.Demand { return flowcontrol.Demand{} }
+func (f *fifoAdmitter) demand(time.Time) flowcontrol.Demand { return flowcontrol.Demand{} }
 
 func (f *fifoAdmitter) setWindow(float64) {}
--- a/internal/measure/pool.go
+++ b/internal/measure/pool.go
@@ -255,7 +255,7 @@
 func (r *poolRun) exchangeDemand() {
 	demands := make([]flowcontrol.Demand, len(r.entries))
 	for i, entry := range r.entries {
-		demands[i] = entry.queue.demand()
+		demands[i] = entry.queue.demand(r.sim.now)
 	}
 	for _, entry := range r.entries {
 		for i, from := range r.entries {
