--- a/internal/backend/client.go
+++ b/internal/backend/client.go
@@ -73,12 +73,6 @@
 	Body   []byte
 }
 
-// unreplayableBody hides the bytes from net/http, which would otherwise resend
-// a request that carries an Idempotency-Key after a connection broke.
-type unreplayableBody struct{ io.Reader }
-
-func (unreplayableBody) Close() error { return nil }
-
 // do sends the call and returns a successful response or an *Error.
 func (c *Client) do(ctx context.Context, call Call) (*http.Response, error) {
 	var sent atomic.Bool
@@ -102,7 +96,11 @@
 
 func (c *Client) newRequest(ctx context.Context, call Call) (*http.Request, error) {
 	url := c.scheme + "://" + call.Server.Settings.Address + call.Path
-	req, err := http.NewRequestWithContext(ctx, call.Method, url, unreplayableBody{bytes.NewReader(call.Body)})
+	// net/http would resend a request that carries an Idempotency-Key after a
+	// connection broke, if it could read the body again. It can't rewind this one,
+	// and yet knows it to be in memory, so that header and body leave together.
+	body := io.NopCloser(bytes.NewReader(call.Body))
+	req, err := http.NewRequestWithContext(ctx, call.Method, url, body)
 	if err != nil {
 		return nil, errors.Wrap(err, "build request")
 	}
--- a/internal/billing/handover.go
+++ b/internal/billing/handover.go
@@ -12,7 +12,7 @@
 const (
 	// maxHandovers is the number of handovers under way above which records are
 	// gathered; below it each leaves at once, since its caller waits.
-	maxHandovers = 2
+	maxHandovers = 1
 	// handoverWindow is the longest that records are gathered for one handover.
 	handoverWindow = 5 * time.Millisecond
 	// handoverTimeout bounds the wait for a peer's acknowledgement.
