--- a/internal/billing/handover.go
+++ b/internal/billing/handover.go
@@ -7,14 +7,18 @@
 	"time"
 
 	"github.com/basilrail/basilrail/internal/peers"
+	"github.com/basilrail/basilrail/internal/wait"
 )
 
 const (
-	// maxHandovers is the number of handovers under way above which records are
-	// gathered; below it each leaves at once, since its caller waits.
+	// maxHandovers is the number of handovers under way above which a small fleet
+	// gathers records; below it each leaves at once, since its caller waits.
 	maxHandovers = 1
-	// handoverWindow is the longest that records are gathered for one handover.
-	handoverWindow = 5 * time.Millisecond
+	// smallWindow is the longest that a small fleet gathers records.
+	smallWindow = 5 * time.Millisecond
+	// largeWindow is how long a large fleet always gathers records, to share more
+	// of each message's overhead.
+	largeWindow = 40 * time.Millisecond
 	// handoverTimeout bounds the wait for a peer's acknowledgement.
 	handoverTimeout = 250 * time.Millisecond
 	// handoverRetry is the wait when no peer took a batch.
@@ -24,14 +28,16 @@
 	smallFleet = 64
 )
 
-// copies is how many peers are asked to hold a record.
-func copies(instances int) int {
+// Copies is how many peers are asked to hold a record.
+func Copies(instances int) int {
 	if instances <= smallFleet {
 		return 2
 	}
 	return 1
 }
 
+func (l *Ledger) instances() int { return len(l.cfg.Bus.Peers()) + 1 }
+
 func (l *Ledger) handoverLoop(ctx context.Context) {
 	for {
 		select {
@@ -49,7 +55,12 @@
 
 // gather waits until another handover may leave; done ends it.
 func (l *Ledger) gather(ctx context.Context) (done func()) {
-	timer := time.NewTimer(handoverWindow)
+	if l.instances() > smallFleet {
+		// The context's end is seen by the delivery.
+		_ = wait.For(ctx, largeWindow)
+		return func() {}
+	}
+	timer := time.NewTimer(smallWindow)
 	defer timer.Stop()
 	select {
 	case l.handovers <- struct{}{}:
@@ -71,10 +82,14 @@
 // deliver hands a batch to peers until one acknowledges it, or its block is
 // stored.
 func (l *Ledger) deliver(ctx context.Context, b *batch) {
+	packed, err := pack(b.records)
+	if err != nil {
+		return // the block's flush tries again
+	}
 	failed := make(map[string]bool)
 	for ctx.Err() == nil && !isClosed(b.durable) {
 		targets := l.targets(b.block.id, failed)
-		if l.offer(ctx, b, targets) {
+		if l.offer(ctx, b.block, packed, targets) {
 			l.markDurable(b)
 			return
 		}
@@ -117,10 +132,10 @@
 
 // offer sends a batch to all targets at once and reports whether one took it;
 // a slow target does not delay the answer of the other.
-func (l *Ledger) offer(ctx context.Context, b *batch, targets []peers.Peer) bool {
+func (l *Ledger) offer(ctx context.Context, b *block, packed []byte, targets []peers.Peer) bool {
 	taken := make(chan bool, len(targets))
 	for _, target := range targets {
-		go func() { taken <- l.offerTo(ctx, b, target.ID) }()
+		go func() { taken <- l.offerTo(ctx, b, packed, target.ID) }()
 	}
 	for range targets {
 		if <-taken {
@@ -130,14 +145,20 @@
 	return false
 }
 
-func (l *Ledger) offerTo(ctx context.Context, b *batch, peer string) bool {
-	ctx, cancel := context.WithTimeout(ctx, handoverTimeout)
-	defer cancel()
+func (l *Ledger) offerTo(ctx context.Context, b *block, packed []byte, peer string) bool {
 	l.mu.Lock()
-	b.block.holders[peer] = true
+	b.holders[peer] = true
 	l.mu.Unlock()
-	message := handover{Block: b.block.id, Records: b.records}
-	return l.cfg.Bus.Request(ctx, peer, peers.KindBill, message, nil) == nil
+	id := b.id
+	id.Instance = ""
+	return offer(ctx, l.cfg.Bus, peer, handover{Block: id, Records: packed}) == nil
+}
+
+// offer asks a peer to hold records and returns nil once it does.
+func offer(ctx context.Context, bus peers.Bus, peer string, m handover) error {
+	ctx, cancel := context.WithTimeout(ctx, handoverTimeout)
+	defer cancel()
+	return bus.Request(ctx, peer, peers.KindBill, m, nil)
 }
 
 // targets picks connected peers in other failure domains, different ones from
@@ -154,7 +175,7 @@
 	sort.SliceStable(rotated[1:], func(i, j int) bool {
 		return rotated[i+1].FailureDomain != first.FailureDomain && rotated[j+1].FailureDomain == first.FailureDomain
 	})
-	return rotated[:min(len(rotated), copies(len(all)+1))]
+	return rotated[:min(len(rotated), Copies(len(all)+1))]
 }
 
 func elsewhere(all []peers.Peer, failureDomain string, failed map[string]bool) []peers.Peer {
