Measure exposure, crasher and retry storm; tighten budget and ejection

The measures use the real packages: roll-out controllers with the store down, quarantines, watchers and retriers of 9 instances before 18 fake servers. The command runs them in real time, the test in virtual time.

Cause: 10 saved tokens at each of 9 instances beside 0.18 a request. Now 0.15 a request and 5 saved, which bounds any 100 requests of an instance to 1.2 attempts each; and a server that was ejected gets one trial in place of three. Ruled out: choosing by the servers' true load, which no instance knows; the measure uses each instance's own requests in flight.

--- /dev/null
+++ b/internal/measure/faults_test.go
@@ -0,0 +1,30 @@
+package measure
+
+import (
+	"testing"
+	"testing/synctest"
+
+	"github.com/stretchr/testify/assert"
+)
+
+// The measures of failures run in virtual time here, and in real time in the
+// command.
+func TestFaultMeasuresMeetTheirTargets(t *testing.T) {
+	tests := []struct {
+		desc string
+		run  Func
+	}{
+		{desc: "exposure", run: measureExposure},
+		{desc: "crasher", run: measureCrasher},
+		{desc: "retry storm", run: measureRetryStorm},
+	}
+	for _, test := range tests {
+		t.Run(test.desc, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				for _, row := range test.run(1) {
+					assert.True(t, row.Pass, "%s: %s, target %s", row.Name, row.Ours, row.Target)
+				}
+			})
+		})
+	}
+}
--- /dev/null
+++ b/internal/measure/retrystorm.go
@@ -0,0 +1,295 @@
+package measure
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/basilrail/basilrail/internal/backend"
+	"github.com/basilrail/basilrail/internal/datastore"
+	"github.com/basilrail/basilrail/internal/peers/membus"
+	"github.com/basilrail/basilrail/internal/retry"
+	"github.com/basilrail/basilrail/internal/serverwatch"
+	"github.com/basilrail/basilrail/internal/settings"
+	"github.com/basilrail/basilrail/internal/statechart"
+)
+
+func init() { Register(70, "retry storm", measureRetryStorm) }
+
+const (
+	// maxAttemptRatio and minGoodput are the targets: attempts by request while
+	// half of the servers fail, and goodput after the repair by that before.
+	maxAttemptRatio = 1.2
+	minGoodput      = 0.95
+	recoverWithin   = 5 * time.Second
+	// stormBefore, stormFailing and stormAfter are the parts of a run.
+	stormBefore  = 4 * time.Second
+	stormFailing = 6 * time.Second
+	stormAfter   = recoverWithin + goodputWindow
+	// goodputWindow is the time over which goodput is taken.
+	goodputWindow = 2 * time.Second
+	// stormInterval is the time between two requests: about two thirds of what
+	// all servers can take.
+	stormInterval = 4 * time.Millisecond
+	stormTime     = 200 * time.Millisecond
+	stormCapacity = 4
+	stormDeadline = 2 * time.Second
+	// unboundedAttempts is what the baseline tries before it gives up.
+	unboundedAttempts = 20
+)
+
+// stormFleet is the entry instances and servers of one run.
+type stormFleet struct {
+	servers []*fakeServer
+	byID    map[string]*fakeServer
+	// entries is nil in the baseline.
+	entries []*stormEntry
+	random  *lockedRand
+
+	mu       sync.Mutex
+	phase    stormPhase
+	requests [stormPhases]int
+	attempts [stormPhases]int
+	good     [stormPhases]int
+}
+
+// stormPhase is a part of the run; a request counts where it began.
+type stormPhase int
+
+const (
+	phaseWarmUp stormPhase = iota
+	phaseBefore
+	phaseFailing
+	phaseRecovering
+	phaseAfter
+	stormPhases
+)
+
+// stormEntry is one entry instance.
+type stormEntry struct {
+	watch   *serverwatch.Watcher
+	data    *datastore.Store
+	retrier *retry.Retrier
+}
+
+// measureRetryStorm lets half of the servers fail every request for a while,
+// though they report themselves well.
+func measureRetryStorm(seed uint64) []Row {
+	charts, err := statechart.Load()
+	if err != nil {
+		return []Row{{Name: "retry storm", Ours: err.Error()}}
+	}
+	fleets := [2]*stormFleet{newStormFleet(seed, nil), newStormFleet(seed, charts)}
+	var runs sync.WaitGroup
+	for _, f := range fleets {
+		runs.Go(f.play)
+	}
+	runs.Wait()
+	baseline, ours := fleets[0], fleets[1]
+	return []Row{{
+		Name:     "retry storm",
+		Baseline: baseline.String(),
+		Ours:     ours.String(),
+		Target: fmt.Sprintf("attempts at most %.1f by request, goodput at least %.2f of before within %s of the repair",
+			maxAttemptRatio, minGoodput, recoverWithin),
+		Pass: ours.attemptRatio() <= maxAttemptRatio && ours.recovery() >= minGoodput,
+		Note: fmt.Sprintf("while half of the servers fail, goodput is %.2f of before, and %.2f in the baseline, which retries at once up to %d times",
+			ours.goodput(phaseFailing), baseline.goodput(phaseFailing), unboundedAttempts),
+	}}
+}
+
+func newStormFleet(seed uint64, charts *statechart.Set) *stormFleet {
+	f := &stormFleet{
+		servers: newServers(fleetServers, stormCapacity),
+		byID:    make(map[string]*fakeServer),
+		random:  newLockedRand(seed, 1),
+	}
+	tree := settings.Tree{Servers: make(map[string]settings.Server)}
+	for _, s := range f.servers {
+		f.byID[s.id] = s
+		tree.Servers[s.id] = settings.Server{Address: s.id, Capacity: stormCapacity}
+	}
+	if charts == nil {
+		return f
+	}
+	network := membus.New()
+	for i := range fleetEntries {
+		e := &stormEntry{data: datastore.New(), retrier: retry.New(rand.New(rand.NewPCG(seed, uint64(i))))}
+		e.data.SetSettings(settings.Compile(1, tree))
+		e.watch = serverwatch.New(serverwatch.Options{
+			Store: e.data, Client: &http.Client{Transport: f}, Bus: network.Join(fmt.Sprint("entry-", i), "a"),
+			Chart: charts.Server, Rand: rand.New(rand.NewPCG(seed, uint64(i)+fleetEntries)),
+		})
+		f.entries = append(f.entries, e)
+	}
+	return f
+}
+
+// RoundTrip answers the status requests of the watchers: every server says that
+// it is well.
+func (f *stormFleet) RoundTrip(req *http.Request) (*http.Response, error) {
+	process, _ := f.byID[req.URL.Host].process()
+	body, err := json.Marshal(map[string]string{"instance": process})
+	return &http.Response{StatusCode: http.StatusOK, Body: io.NopCloser(bytes.NewReader(body))}, err
+}
+
+func (f *stormFleet) String() string {
+	return fmt.Sprintf("%.2f attempts by request, goodput %.2f", f.attemptRatio(), f.recovery())
+}
+
+func (f *stormFleet) attemptRatio() float64 {
+	return float64(f.attempts[phaseFailing]) / float64(f.requests[phaseFailing])
+}
+
+// recovery is the goodput after the time to recover by that before the failure.
+func (f *stormFleet) recovery() float64 { return f.goodput(phaseAfter) }
+
+// goodput is the fraction of a phase's requests that are answered in time, by
+// that before the failure. It does not depend on how evenly the machine lets the
+// requests begin.
+func (f *stormFleet) goodput(phase stormPhase) float64 {
+	fraction := func(p stormPhase) float64 { return float64(f.good[p]) / float64(f.requests[p]) }
+	return fraction(phase) / fraction(phaseBefore)
+}
+
+// play runs the phases.
+func (f *stormFleet) play() {
+	ctx, cancel := context.WithCancel(context.Background())
+	var work sync.WaitGroup
+	for _, e := range f.entries {
+		work.Go(func() { e.watch.Run(ctx) })
+	}
+	var requests sync.WaitGroup
+	traffic := func(phase stormPhase, d time.Duration) {
+		f.setPhase(phase)
+		every(stormInterval, d, func(int) { requests.Go(f.request) })
+	}
+	traffic(phaseWarmUp, stormBefore-goodputWindow)
+	traffic(phaseBefore, goodputWindow)
+	f.failHalf(true)
+	traffic(phaseFailing, stormFailing)
+	f.failHalf(false)
+	traffic(phaseRecovering, stormAfter-goodputWindow)
+	traffic(phaseAfter, goodputWindow)
+	requests.Wait()
+	cancel()
+	work.Wait()
+}
+
+func (f *stormFleet) setPhase(p stormPhase) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.phase = p
+}
+
+func (f *stormFleet) failHalf(failed bool) {
+	for _, s := range f.servers[:len(f.servers)/2] {
+		s.setFailed(failed)
+	}
+}
+
+// request tries a request until it is answered or given up.
+func (f *stormFleet) request() {
+	phase := f.begin()
+	deadline := time.Now().Add(stormDeadline)
+	ok := false
+	if f.entries == nil {
+		ok = f.tryUnbounded(phase, deadline)
+	} else {
+		ok = f.tryBounded(f.entries[f.random.intN(len(f.entries))], phase, deadline)
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if ok {
+		f.good[phase]++
+	}
+}
+
+func (f *stormFleet) begin() stormPhase {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.requests[f.phase]++
+	return f.phase
+}
+
+// run sends one attempt.
+func (f *stormFleet) run(s *fakeServer, phase stormPhase) retry.Outcome {
+	f.mu.Lock()
+	f.attempts[phase]++
+	f.mu.Unlock()
+	return s.run(stormTime)
+}
+
+// tryUnbounded is the baseline: any server, at once, again and again.
+func (f *stormFleet) tryUnbounded(phase stormPhase, deadline time.Time) bool {
+	for range unboundedAttempts {
+		if f.run(f.servers[f.random.intN(len(f.servers))], phase) == answered {
+			return true
+		}
+		if time.Now().After(deadline) {
+			return false
+		}
+	}
+	return false
+}
+
+// tryBounded keeps to servers that do not fail and retries within the budget.
+func (f *stormFleet) tryBounded(e *stormEntry, phase stormPhase, deadline time.Time) bool {
+	e.retrier.Request()
+	for attempt := 1; ; attempt++ {
+		s, ok := f.choose(e)
+		if !ok {
+			return false
+		}
+		s.Begin(1)
+		outcome := f.run(f.byID[s.ID], phase)
+		s.End(1)
+		if outcome == answered {
+			e.watch.Succeeded(s.ID)
+			return true
+		}
+		e.report(s.ID, outcome)
+		decision := e.retrier.Next(retry.Attempt{
+			Outcome: outcome, Number: attempt, Idempotent: true, OtherServers: 1, Remaining: time.Until(deadline),
+		})
+		if decision.Action == retry.Stop {
+			return false
+		}
+		time.Sleep(decision.Delay)
+	}
+}
+
+// choose takes the server on which this instance has fewer requests of two that
+// are not down.
+func (f *stormFleet) choose(e *stormEntry) (*datastore.Server, bool) {
+	var up []*datastore.Server
+	for _, s := range e.data.Snapshot().Watched() {
+		if !s.Status().Down {
+			up = append(up, s)
+		}
+	}
+	if len(up) == 0 {
+		return nil, false
+	}
+	a, b := up[f.random.intN(len(up))], up[f.random.intN(len(up))]
+	loadA, _ := a.InFlight()
+	if loadB, _ := b.InFlight(); loadB < loadA {
+		a = b
+	}
+	return a, true
+}
+
+// report tells the watcher how an attempt failed.
+func (e *stormEntry) report(server string, outcome retry.Outcome) {
+	fate := backend.Answered
+	if outcome == retry.OutcomeNoCapacity {
+		fate = backend.Refused
+	}
+	e.watch.Report(&backend.Error{Fate: fate, Server: server})
+}
--- a/internal/quarantine/place.go
+++ b/internal/quarantine/place.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"github.com/basilrail/basilrail/internal/wait"
 )
 
 // The errors of Place; nothing was sent.
@@ -34,7 +36,7 @@
 // content is quarantined. Servers that crashed with the content are taken only
 // when there is no other candidate.
 func (q *Quarantine) Place(ctx context.Context, fp Fingerprint, attempt string, candidates []string) (string, error) {
-	if !sleep(ctx, q.settleLeft(fp)) {
+	if wait.For(ctx, q.settleLeft(fp)) != nil {
 		return "", ErrNoSlot
 	}
 	server, err := q.place(ctx, fp, attempt, candidates)
@@ -59,7 +61,7 @@
 		if ok {
 			return server, nil
 		}
-		if !sleep(ctx, placeInterval) {
+		if wait.For(ctx, placeInterval) != nil {
 			return "", ErrNoSlot
 		}
 	}
@@ -136,15 +138,3 @@
 }
 
 func compare(a, b string) int { return cmp.Compare(a, b) }
-
-// sleep waits; it reports false when ctx ended first.
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(max(d, 0))
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/retry/budget.go
+++ b/internal/retry/budget.go
@@ -3,11 +3,12 @@
 import "sync"
 
 const (
-	// tokensPerRequest is what a request adds to the budget. With the burst it
-	// keeps attempts within 1.2 times the requests.
-	tokensPerRequest = 0.18
-	// maxTokens is the number of retries that a quiet time saves up.
-	maxTokens = 10.0
+	// tokensPerRequest is what a request adds to the budget.
+	tokensPerRequest = 0.15
+	// maxTokens is the number of retries that a quiet time saves up. With
+	// tokensPerRequest it keeps attempts within 1.2 times the requests over any
+	// 100 requests of an instance.
+	maxTokens = 5.0
 )
 
 // Budget bounds retries to a fraction of requests. It is safe for concurrent
--- a/internal/retry/retry_test.go
+++ b/internal/retry/retry_test.go
@@ -93,8 +93,11 @@
 }
 
 func TestBudgetBoundsAttempts(t *testing.T) {
-	const requests, limit = 10_000, 1.2
+	const quiet, requests, limit = 1000, 100, 1.2
 	r := New(rand.New(rand.NewPCG(1, 1)))
+	for range quiet {
+		r.Request()
+	}
 	attempts := 0
 	for range requests {
 		r.Request()
--- a/internal/serverwatch/state.go
+++ b/internal/serverwatch/state.go
@@ -66,7 +66,9 @@
 		return false
 	}
 	wait := min(ejectFor<<min(e.times, maxDoublings), ejectForMax)
-	e.failed, e.times, e.until = 0, e.times+1, now.Add(wait)
+	// The next attempt after the wait is a trial: if it fails, the server is
+	// ejected again at once.
+	e.failed, e.times, e.until = ejectAfter-1, e.times+1, now.Add(wait)
 	return true
 }
 
--- a/internal/serverwatch/watcher_test.go
+++ b/internal/serverwatch/watcher_test.go
@@ -214,12 +214,15 @@
 		f := newFleet(t, 1, 2)
 		w := f.watchers[0]
 		down := func() bool { return w.store.Snapshot().Servers["s0"].Status().Down }
+		fail := func() { w.Report(&backend.Error{Fate: backend.Answered, Server: "s0"}) }
+		for range ejectAfter - 1 {
+			fail()
+			require.False(t, down())
+		}
 		last := time.Duration(0)
 		for range 6 {
-			for range ejectAfter {
-				require.False(t, down())
-				w.Report(&backend.Error{Fate: backend.Answered, Server: "s0"})
-			}
+			fail()
+			require.True(t, down(), "after the first time a single failed trial ejects")
 			start := time.Now()
 			for down() {
 				time.Sleep(10 * time.Millisecond)
@@ -229,7 +232,9 @@
 		}
 		require.Equal(t, ejectForMax, last)
 		w.Succeeded("s0")
-		w.Report(&backend.Error{Fate: backend.Refused, Server: "s0"})
+		for range ejectAfter {
+			w.Report(&backend.Error{Fate: backend.Refused, Server: "s0"})
+		}
 		require.False(t, down(), "a refusal for lack of capacity is no failure")
 	})
 }
