--- a/internal/entry/build.go
+++ b/internal/entry/build.go
@@ -13,11 +13,13 @@
 	"github.com/basilrail/basilrail/internal/claim"
 	"github.com/basilrail/basilrail/internal/configsync"
 	"github.com/basilrail/basilrail/internal/datastore"
+	"github.com/basilrail/basilrail/internal/explain"
 	"github.com/basilrail/basilrail/internal/flowcontrol"
 	"github.com/basilrail/basilrail/internal/gateway"
 	"github.com/basilrail/basilrail/internal/membership"
+	"github.com/basilrail/basilrail/internal/orders"
 	"github.com/basilrail/basilrail/internal/peers"
-	"github.com/basilrail/basilrail/internal/peers/membus"
+	"github.com/basilrail/basilrail/internal/peers/mesh"
 	"github.com/basilrail/basilrail/internal/platform"
 	"github.com/basilrail/basilrail/internal/platform/groupcommit"
 	"github.com/basilrail/basilrail/internal/platform/httpplatform"
@@ -25,6 +27,7 @@
 	"github.com/basilrail/basilrail/internal/rating"
 	"github.com/basilrail/basilrail/internal/retry"
 	"github.com/basilrail/basilrail/internal/rollout"
+	"github.com/basilrail/basilrail/internal/serverwatch"
 	"github.com/basilrail/basilrail/internal/session"
 	"github.com/basilrail/basilrail/internal/settings"
 	"github.com/basilrail/basilrail/internal/statechart"
@@ -35,7 +38,7 @@
 	// claims and bills of the whole fleet may take.
 	fleetCommitsPerSecond = 300.0
 	// subsetSize is the number of servers of each model that an instance uses.
-	subsetSize = 128
+	subsetSize = 24
 	// maxAnswerBytes bounds a whole answer of a backend server.
 	maxAnswerBytes = 16 << 20
 	// idleConnsPerServer is the number of idle connections kept to a backend server.
@@ -52,11 +55,13 @@
 	}
 	i := &Instance{opts: o, cfg: o.Config, log: o.Log, charts: charts, aborted: make(chan struct{})}
 	i.seeds = seedFor(o.Seed, o.Config.Instance.Value)
-	bus := membus.New().Join(i.cfg.Instance.Value, i.cfg.FailureDomain.Value)
-	if err := i.buildState(bus); err != nil {
+	if err := i.buildMesh(); err != nil {
 		return nil, err
 	}
-	i.buildDecisions(bus)
+	if err := i.buildState(i.mesh); err != nil {
+		return nil, err
+	}
+	i.buildDecisions(i.mesh)
 	if err := i.buildGateway(); err != nil {
 		return nil, err
 	}
@@ -75,6 +80,37 @@
 	return transport
 }
 
+// buildMesh makes the connections to the other entry instances.
+func (i *Instance) buildMesh() error {
+	peerFiles, err := i.reloader(i.peerFiles())
+	if err != nil {
+		return errors.Wrap(err, "certificates for the peers")
+	}
+	dial := i.opts.Dial
+	if peerFiles != nil {
+		dial = peerFiles.Dialer(dial)
+	}
+	i.mesh = mesh.New(mesh.Config{
+		Self:   i.cfg.Instance.Value,
+		Secret: i.cfg.PeerSecret.Value,
+		Dial:   dial,
+		Rand:   i.newRand(),
+		Log:    i.log,
+	})
+	return nil
+}
+
+// setPeers tells the mesh of the entry instances that the list names.
+func (i *Instance) setPeers(v *membership.View) {
+	var others []peers.Peer
+	for _, m := range v.Entries {
+		if m.ID != i.cfg.Instance.Value {
+			others = append(others, peers.Peer{ID: m.ID, FailureDomain: m.FailureDomain, Address: m.Address})
+		}
+	}
+	i.mesh.SetPeers(others)
+}
+
 // buildState makes what reads and writes the platform.
 func (i *Instance) buildState(bus peers.Bus) error {
 	transport, err := i.clientTransport(i.cfg.PlatformTLS)
@@ -120,6 +156,26 @@
 
 // buildDecisions makes what chooses, learns and protects.
 func (i *Instance) buildDecisions(bus peers.Bus) {
+	i.watcher = serverwatch.New(serverwatch.Options{
+		Store:  i.data,
+		Client: &http.Client{Transport: i.transport()},
+		Bus:    bus,
+		Chart:  i.charts.Server,
+		Rand:   i.newRand(),
+		Logger: i.log,
+	})
+	i.orders = orders.New(orders.Options{
+		Table:     i.platform,
+		Store:     i.data,
+		Client:    &http.Client{Transport: i.transport()},
+		Self:      i.cfg.Instance.Value,
+		FleetSize: func() int { return i.members.View().EntryCount() },
+		Rand:      i.newRand(),
+		Logger:    i.log,
+	})
+	i.members.OnChange(i.setPeers)
+	i.members.OnChange(func(v *membership.View) { i.watcher.SetMembers(v.Servers) })
+	i.explain = explain.New(bus, i.opts.Tracing.Recorder(), i.cfg.ExplainRecords.Value)
 	i.suspects = quarantine.New(quarantine.Options{Bus: bus, Table: i.platform, Rand: i.newRand(), Logger: i.log})
 	i.rollouts = rollout.New(rollout.Options{
 		Bus:      bus,
@@ -132,6 +188,7 @@
 	i.admit = flowcontrol.New()
 	i.windows = newWindows(bus, i.data, i.admit)
 	i.planner = cascade.NewPlanner(cascade.NewLearner(), cascade.NewBudget(float64(i.cfg.RatingRate.Value)))
+	i.learning = newLearning(bus, i.planner, i.cfg.RatingRate.Value)
 }
 
 func (i *Instance) buildGateway() error {
@@ -154,16 +211,16 @@
 		Versions:      i.rollouts,
 		Planner:       i.planner,
 		Admission:     i.admit,
-		Suspects:      suspectTracker{Quarantine: i.suspects},
+		Suspects:      suspectTracker{Quarantine: i.suspects, servers: i.watcher},
 		Retries:       retry.New(i.newRand()),
-		Servers:       serverReports{},
+		Servers:       i.watcher,
 		Claims:        i.claims,
 		Bills:         i.ledger,
 		Rater:         rating.New(&http.Client{Transport: i.transport()}, i.ratingURL()),
 		Charts:        i.charts,
-		Records:       dropRecords{},
+		Records:       i.explain,
 		Log:           i.log,
-		Tracer:        i.opts.Tracer,
+		Tracer:        i.opts.Tracing.Tracer(),
 		Rand:          i.newRand(),
 		StreamTime:    i.cfg.StreamTime.Value,
 		WriteTimeout:  i.cfg.WriteTimeout.Value,
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/basilrail/basilrail/internal/admin"
+	"github.com/basilrail/basilrail/internal/billing"
 	"github.com/basilrail/basilrail/internal/events"
 	"github.com/basilrail/basilrail/internal/statechart"
 	"github.com/basilrail/basilrail/internal/staticconfig"
@@ -58,6 +59,9 @@
 	i.mountHealth(operators)
 	operators.Mount("/", admin.New(admin.Options{
 		Settings:           i.syncer,
+		Rollouts:           rolloutEvidence{i.rollouts},
+		Explainer:          i.explain,
+		Bills:              billLister{billing.NewReader(i.platform)},
 		Log:                i.log,
 		BootstrapKeySHA256: i.cfg.BootstrapKeySHA256.Value,
 	}))
@@ -67,6 +71,7 @@
 		handler http.Handler
 	}{
 		{i.cfg.ListenOperators.Value.String(), serverFiles(i.cfg.OperatorsTLS), operators},
+		{i.cfg.ListenPeers.Value.String(), i.peerFiles(), i.mesh.Handler()},
 		{i.cfg.ListenCallers.Value.String(), serverFiles(i.cfg.CallersTLS), i.gateway.Handler()},
 	}
 	for _, l := range listeners {
@@ -78,6 +83,12 @@
 	return nil
 }
 
+// peerFiles are the certificate and authorities of both ends of peer connections.
+func (i *Instance) peerFiles() tlsreload.Files {
+	c := i.cfg.PeersTLS
+	return tlsreload.Files{Cert: c.Cert.Value, Key: c.Key.Value, CA: c.CA.Value}
+}
+
 func serverFiles(c staticconfig.ServerTLS) tlsreload.Files {
 	return tlsreload.Files{Cert: c.Cert.Value, Key: c.Key.Value}
 }
@@ -113,14 +124,17 @@
 // startLoops starts everything that works in the background.
 func (i *Instance) startLoops(ctx context.Context) {
 	i.goLoop(ctx, i.members.Run)
+	i.goLoop(ctx, i.mesh.Run)
 	i.goLoop(ctx, i.syncer.Run)
 	i.goLoop(ctx, i.commits.Run)
 	i.goLoop(ctx, i.claims.Run)
 	i.goLoop(ctx, i.ledger.Run)
 	i.goLoop(ctx, i.suspects.Run)
 	i.goLoop(ctx, i.rollouts.Run)
-	i.goLoop(ctx, i.watchServers)
+	i.goLoop(ctx, i.watcher.Run)
 	i.goLoop(ctx, i.windows.Run)
+	i.goLoop(ctx, i.orders.Run)
+	i.goLoop(ctx, i.learning.Run)
 	i.goLoop(ctx, func(ctx context.Context) { every(ctx, observeInterval, i.life.observe) })
 }
 
