--- a/internal/rollout/controller.go
+++ b/internal/rollout/controller.go
@@ -65,13 +65,19 @@
 	revision    uint64
 	pool        *pool
 	own         map[Trial]Counts
-	sent        map[Trial]Counts
+	sent        map[Trial]sentRow
 	watches     map[Trial]*watch
 	suspensions map[Trial]Suspension
 	changes     uint64
 	sends       int
 }
 
+// sentRow is what the peers were last told of a trial.
+type sentRow struct {
+	counts Counts
+	at     time.Time
+}
+
 // watch is what one instance keeps of a trial besides the pooled evidence.
 type watch struct {
 	cusum    Cusum
@@ -107,14 +113,14 @@
 		settings:    o.Settings,
 		chart:       o.Chart,
 		logger:      o.Logger,
-		limiter:     rate.NewLimiter(1, evidenceBurst),
+		limiter:     rate.NewLimiter(ownRowsPerSecond, rowBurst),
 		epoch:       o.Rand.Uint64(),
 		wake:        make(chan struct{}, 1),
 		rand:        o.Rand,
 		started:     time.Now(),
 		pool:        newPool(),
 		own:         make(map[Trial]Counts),
-		sent:        make(map[Trial]Counts),
+		sent:        make(map[Trial]sentRow),
 		watches:     make(map[Trial]*watch),
 		suspensions: make(map[Trial]Suspension),
 	}
