Let the last answers leave before an instance closes its connections

A request counts as finished when its handler returns; the server sends the last bytes after that. A read timeout that ends streams was ruled out by a trial.

--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -121,6 +121,16 @@
 	}
 }
 
+// shutDownServers lets the last answers reach their callers: a request counts
+// as finished when its handler returns, before its last bytes are sent.
+func (i *Instance) shutDownServers(ctx context.Context) {
+	for _, server := range i.servers {
+		// What is left after the context's end is closed below.
+		_ = server.Shutdown(ctx)
+	}
+	i.closeServers()
+}
+
 // startLoops starts everything that works in the background.
 func (i *Instance) startLoops(ctx context.Context) {
 	i.goLoop(ctx, i.members.Run)
@@ -152,7 +162,7 @@
 	i.claims.Close(ctx)
 	i.ledger.Close(ctx)
 	_ = i.members.Deregister(ctx)
-	i.closeServers()
+	i.shutDownServers(ctx)
 	i.life.fire(statechart.EntryDrained)
 	i.log.Log(events.ProcessStopped, events.Fields{})
 }
