Count finished requests and serve /metrics on the operators' address

The counters come from the record that each finished request leaves, so the request path itself counts nothing; values that components hold are read when asked for. Metrics that nothing fed are gone.

--- a/internal/docsgen/main.go
+++ b/internal/docsgen/main.go
@@ -58,7 +58,7 @@
 	}
 	return []page{
 		{path: "docs/EVENTS.md", text: events.Markdown()},
-		{path: "docs/METRICS.md", text: metrics.Markdown(metrics.New().Definitions())},
+		{path: "docs/METRICS.md", text: metrics.Markdown(metrics.New(metrics.Sources{}).Definitions())},
 		{path: "docs/STATECHARTS.md", text: statechart.Markdown(charts.All())},
 	}, nil
 }
--- a/internal/entry/build.go
+++ b/internal/entry/build.go
@@ -17,6 +17,7 @@
 	"github.com/basilrail/basilrail/internal/flowcontrol"
 	"github.com/basilrail/basilrail/internal/gateway"
 	"github.com/basilrail/basilrail/internal/membership"
+	"github.com/basilrail/basilrail/internal/metrics"
 	"github.com/basilrail/basilrail/internal/orders"
 	"github.com/basilrail/basilrail/internal/peers"
 	"github.com/basilrail/basilrail/internal/peers/mesh"
@@ -62,6 +63,7 @@
 		return nil, err
 	}
 	i.buildDecisions(i.mesh)
+	i.metrics = metrics.New(i.metricSources())
 	if err := i.buildGateway(); err != nil {
 		return nil, err
 	}
@@ -218,7 +220,7 @@
 		Bills:         i.ledger,
 		Rater:         rating.New(&http.Client{Transport: i.transport()}, i.ratingURL()),
 		Charts:        i.charts,
-		Records:       i.explain,
+		Records:       countedRecords{metrics: i.metrics, next: i.explain},
 		Log:           i.log,
 		Tracer:        i.opts.Tracing.Tracer(),
 		Rand:          i.newRand(),
--- a/internal/entry/instance.go
+++ b/internal/entry/instance.go
@@ -22,6 +22,7 @@
 	"github.com/basilrail/basilrail/internal/flowcontrol"
 	"github.com/basilrail/basilrail/internal/gateway"
 	"github.com/basilrail/basilrail/internal/membership"
+	"github.com/basilrail/basilrail/internal/metrics"
 	"github.com/basilrail/basilrail/internal/orders"
 	"github.com/basilrail/basilrail/internal/peers/mesh"
 	"github.com/basilrail/basilrail/internal/platform/groupcommit"
@@ -72,6 +73,7 @@
 	orders   *orders.Giver
 	learning *learning
 	explain  *explain.Store
+	metrics  *metrics.Registry
 	backend  *backend.Client
 	gateway  *gateway.Gateway
 	life     *lifecycle
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -57,6 +57,7 @@
 func (i *Instance) open(ctx context.Context) error {
 	operators := chi.NewRouter()
 	i.mountHealth(operators)
+	operators.Method(http.MethodGet, metricsPath, i.metrics)
 	operators.Mount("/", admin.New(admin.Options{
 		Settings:           i.syncer,
 		Rollouts:           rolloutEvidence{i.rollouts},
--- a/internal/metrics/counter.go
+++ b/internal/metrics/counter.go
@@ -10,31 +10,18 @@
 	"github.com/HdrHistogram/hdrhistogram-go"
 )
 
-// Counter only rises, in one number or in one by label. A nil *Counter counts
-// nothing.
+// Counter only rises, in one number by label. A nil *Counter counts nothing.
 type Counter struct {
-	total   expvar.Int
-	byLabel *expvar.Map
+	byLabel expvar.Map
 	// labels counts the labels kept.
 	labels atomic.Int64
 }
 
 var _ expvar.Var = (*Counter)(nil)
 
-func newCounter(label string) *Counter {
-	if label == "" {
-		return &Counter{}
-	}
-	return &Counter{byLabel: new(expvar.Map)}
-}
-
-// Add counts n more under a label, which a counter without labels ignores.
+// Add counts n more under a label.
 func (c *Counter) Add(label string, n int64) {
-	switch {
-	case c == nil:
-	case c.byLabel == nil:
-		c.total.Add(n)
-	default:
+	if c != nil {
 		c.byLabel.Add(c.bounded(label), n)
 	}
 }
@@ -54,12 +41,7 @@
 }
 
 // String renders the counter as JSON.
-func (c *Counter) String() string {
-	if c.byLabel == nil {
-		return c.total.String()
-	}
-	return c.byLabel.String()
-}
+func (c *Counter) String() string { return c.byLabel.String() }
 
 // The range and precision of a Histogram.
 const (
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -51,30 +51,35 @@
 	value expvar.Var
 }
 
-// Registry holds the metrics of one entry instance. Its fields are safe for
-// concurrent use.
+// Sources are the values that other components hold; a nil one reads as zero.
+type Sources struct {
+	SettingsRevision func() float64
+	ServersKnown     func() float64
+	ServersDown      func() float64
+	ServersLeaving   func() float64
+	EntriesListed    func() float64
+	TokensInFlight   func() float64
+	StoreCommits     func() float64
+	PeerLinks        func() float64
+	PeerBytesSent    func() float64
+	PeerBytesRead    func() float64
+	PeerDrops        func() float64
+	PeerRejects      func() float64
+}
+
+// Registry holds the metrics of one entry instance. Its fields, which
+// docs/METRICS.md describes, are safe for concurrent use.
 type Registry struct {
-	// Requests, Refusals and so on are described in docs/METRICS.md.
 	Requests        *Counter
 	Refusals        *Counter
 	Attempts        *Counter
-	Retries         *Counter
-	Escalations     *Counter
+	AttemptOutcomes *Counter
 	InputTokens     *Counter
 	OutputTokens    *Counter
 	Cost            *Counter
-	DroppedAnswers  *Counter
-	Quarantined     *Counter
-	StoreWrites     *Counter
-	StoreReads      *Counter
-	PeerBytes       *Counter
-	PeerDrops       *Counter
 	RequestDuration *Histogram
-	FirstToken      *Histogram
 	QueueWait       *Histogram
-	AttemptTime     *Histogram
-	StoreDuration   *Histogram
-	SettingsDelay   *Histogram
+	AttemptDuration *Histogram
 
 	started time.Time
 
@@ -84,54 +89,67 @@
 }
 
 // New makes a registry with every metric at zero.
-func New() *Registry {
+func New(sources Sources) *Registry {
 	r := &Registry{byName: make(map[string]bool), started: time.Now()}
-	r.Requests = r.counter("requests_total", "requests", "outcome", "Requests that ended, by outcome.")
-	r.Refusals = r.counter("refusals_total", "requests", "code", "Requests refused, by error code.")
-	r.Attempts = r.counter("attempts_total", "attempts", "version", "Attempts sent, by model@version or service.")
-	r.Retries = r.counter("retries_total", "attempts", "reason", "Attempts after the first, by reason.")
-	r.Escalations = r.counter("escalations_total", "requests", "version", "Answers that a dearer version replaced, by the version left.")
-	r.InputTokens = r.counter("input_tokens_total", "tokens", "version", "Prompt tokens, by model@version.")
-	r.OutputTokens = r.counter("output_tokens_total", "tokens", "version", "Generated tokens, by model@version.")
-	r.Cost = r.counter("cost_micro_units_total", "micro-units", "account", "Cost billed, by client account.")
-	r.DroppedAnswers = r.counter("dropped_answers_total", "answers", "reason", "Answers dropped as late, crossed or duplicated.")
-	r.Quarantined = r.counter("quarantined_total", "requests", "", "Requests refused because their content crashed backend servers.")
-	r.StoreWrites = r.counter("store_writes_total", "transactions", "outcome", "Writes to the table service, by outcome.")
-	r.StoreReads = r.counter("store_reads_total", "reads", "outcome", "Reads of the table service, by outcome.")
-	r.PeerBytes = r.counter("peer_bytes_total", "bytes", "kind", "Bytes sent to other entry instances, by kind of message.")
-	r.PeerDrops = r.counter("peer_drops_total", "messages", "kind", "Messages to other entry instances dropped for a full queue, by kind.")
-	r.RequestDuration = r.histogram("request_duration_us", "Time from a request's arrival to the end of its answer.")
-	r.FirstToken = r.histogram("first_token_us", "Time from a request's arrival to the first token sent.")
+	r.Requests = r.counter("requests_total", "requests", "state", "Requests that ended, by the state of the request's chart in which they did.")
+	r.Refusals = r.counter("refusals_total", "requests", "code", "Requests refused or failed, by error code.")
+	r.Attempts = r.counter("attempts_total", "attempts", "target", "Attempts, by model@version or service.")
+	r.AttemptOutcomes = r.counter("attempt_outcomes_total", "attempts", "outcome", "Attempts, by how they ended.")
+	r.InputTokens = r.counter("input_tokens_total", "tokens", "target", "Prompt tokens on bills, by model@version.")
+	r.OutputTokens = r.counter("output_tokens_total", "tokens", "target", "Generated tokens on bills, by model@version.")
+	r.Cost = r.counter("cost_micro_units_total", "micro-units", "client account", "Cost billed, by client account.")
+	r.RequestDuration = r.histogram("request_duration_us", "Time from a request's arrival to its end.")
 	r.QueueWait = r.histogram("queue_wait_us", "Time that an attempt waited for its turn.")
-	r.AttemptTime = r.histogram("attempt_duration_us", "Time of an attempt at a backend server.")
-	r.StoreDuration = r.histogram("store_duration_us", "Time of a call to the table service.")
-	r.SettingsDelay = r.histogram("settings_delay_us", "Time from the commit of a change, where known, to its being in force here.")
+	r.AttemptDuration = r.histogram("attempt_duration_us", "Time of an attempt at a backend server.")
+	r.sources(sources)
 	r.process()
 	return r
 }
 
+// sources adds what other components hold.
+func (r *Registry) sources(s Sources) {
+	r.gauge("settings_revision", "revision", "Revision of the settings in force.", s.SettingsRevision)
+	r.gauge("servers_known", "backend servers", "Backend servers of the settings that this instance uses.", s.ServersKnown)
+	r.gauge("servers_down", "backend servers", "Of these, failed and not yet seen well again.", s.ServersDown)
+	r.gauge("servers_leaving", "backend servers", "Of these, leaving.", s.ServersLeaving)
+	r.gauge("entries_listed", "entry instances", "Entry instances on the membership list, this one included.", s.EntriesListed)
+	r.gauge("tokens_in_flight", "tokens", "Estimated tokens that this instance has in flight.", s.TokensInFlight)
+	r.gauge("store_commits_total", "transactions", "Transactions committed for claims and bills.", s.StoreCommits)
+	r.gauge("peer_links", "connections", "Connections to neighbouring entry instances.", s.PeerLinks)
+	r.gauge("peer_bytes_sent_total", "bytes", "Bytes sent to other entry instances.", s.PeerBytesSent)
+	r.gauge("peer_bytes_received_total", "bytes", "Bytes received from other entry instances.", s.PeerBytesRead)
+	r.gauge("peer_drops_total", "messages", "Messages to other entry instances dropped for a full queue.", s.PeerDrops)
+	r.gauge("peer_rejects_total", "messages", "Messages and connections refused as malformed or not authenticated.", s.PeerRejects)
+}
+
 // process adds what the runtime tells of the process.
 func (r *Registry) process() {
-	r.Gauge("process_uptime_s", "seconds", "Time since the process started.", func() float64 {
+	r.gauge("process_uptime_s", "seconds", "Time since the process started.", func() float64 {
 		return time.Since(r.started).Seconds()
 	})
-	r.Gauge("process_goroutines", "goroutines", "Goroutines that exist.", func() float64 {
+	r.gauge("process_goroutines", "goroutines", "Goroutines that exist.", func() float64 {
 		return float64(runtime.NumGoroutine())
 	})
-	r.Gauge("process_heap_bytes", "bytes", "Memory in use on the heap.", func() float64 {
+	r.gauge("process_heap_bytes", "bytes", "Memory in use on the heap.", func() float64 {
 		var m runtime.MemStats
 		runtime.ReadMemStats(&m)
 		return float64(m.HeapAlloc)
 	})
 }
 
-// Gauge adds a metric whose value is read when asked for.
-func (r *Registry) Gauge(name, unit, help string, read func() float64) {
-	r.add(Definition{Name: name, Kind: KindGauge, Unit: unit, Help: help}, expvar.Func(func() any { return read() }))
+// gauge adds a metric whose value is read when asked for.
+func (r *Registry) gauge(name, unit, help string, read func() float64) {
+	value := expvar.Func(func() any {
+		if read == nil {
+			return 0
+		}
+		return read()
+	})
+	r.add(Definition{Name: name, Kind: KindGauge, Unit: unit, Help: help}, value)
 }
 
 func (r *Registry) counter(name, unit, label, help string) *Counter {
-	c := newCounter(label)
+	c := &Counter{}
 	r.add(Definition{Name: name, Kind: KindCounter, Unit: unit, Label: label, Help: help}, c)
 	return c
 }
--- a/internal/metrics/metrics_test.go
+++ b/internal/metrics/metrics_test.go
@@ -22,10 +22,8 @@
 }
 
 func TestEveryMetricIsServedAndDocumented(t *testing.T) {
-	r := New()
-	r.Gauge("servers", "backend servers", "Known.", func() float64 { return 18 })
+	r := New(Sources{ServersKnown: func() float64 { return 18 }})
 	r.Requests.Add("answered", 2)
-	r.Quarantined.Add("", 3)
 	got := page(t, r)
 	for _, d := range r.Definitions() {
 		assert.Contains(t, got, d.Name)
@@ -34,12 +32,12 @@
 	}
 	assert.Len(t, got, len(r.Definitions()))
 	assert.JSONEq(t, `{"answered":2}`, string(got["requests_total"]))
-	assert.JSONEq(t, `3`, string(got["quarantined_total"]))
-	assert.JSONEq(t, `18`, string(got["servers"]))
+	assert.JSONEq(t, `18`, string(got["servers_known"]))
+	assert.JSONEq(t, `0`, string(got["servers_down"]))
 }
 
 func TestLabelsAreBounded(t *testing.T) {
-	r := New()
+	r := New(Sources{})
 	for i := range maxLabels + 36 {
 		r.Cost.Add(fmt.Sprint("team/", i), 1)
 	}
