List all accounts' bills where none is named, and show them in the demo

The demo also waits until the first settings are in force on every entry before it sends; a request sent at once met empty settings and was refused as unauthenticated.

--- a/internal/billing/ledger_test.go
+++ b/internal/billing/ledger_test.go
@@ -313,5 +313,8 @@
 		page, err := reader.List(t.Context(), "other", "", 3)
 		require.NoError(t, err)
 		require.Empty(t, page.Bills)
+		page, err = reader.List(t.Context(), "", "", 100)
+		require.NoError(t, err)
+		require.Len(t, page.Bills, 10, "no account names them all")
 	})
 }
--- a/internal/billing/reader.go
+++ b/internal/billing/reader.go
@@ -60,10 +60,11 @@
 	requestID string
 }
 
-// List returns a client account's bills in the order in which their blocks were
-// begun, each once. A page ends at the end of a block, so it may be longer than
-// limit. Blocks stored late, after an outage, sort by their own time and may
-// lie before a page already read; Reconcile sees them.
+// List returns the bills of a client account, or of all if it is empty, in the
+// order in which their blocks were begun, each once. A page ends at the end of
+// a block, so it may be longer than limit. Blocks stored late, after an outage,
+// sort by their own time and may lie before a page already read; Reconcile
+// sees them.
 func (r *Reader) List(ctx context.Context, account settings.AccountID, after string, limit int) (Page, error) {
 	var page Page
 	seen := make(map[name]bool)
@@ -74,7 +75,7 @@
 		page.Next = block
 		for _, record := range records {
 			n := name{record.Account, record.RequestID}
-			if record.Account == account && !seen[n] {
+			if (account == "" || record.Account == account) && !seen[n] {
 				seen[n] = true
 				page.Bills = append(page.Bills, record)
 			}
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -19,11 +19,6 @@
 
 title() { printf '\n== %s\n' "$*"; }
 
-fail() {
-  echo "demo: $*" >&2
-  exit 1
-}
-
 # show LINE tells what came from where and at what cost.
 show() {
   printf '   request %s: %s, %s tokens, cost %s micro-units\n   %.70s...\n' "$(field request "$1")" \
@@ -93,7 +88,8 @@
   sleep 1
   line="$($ctl withdraw writer@v1)" || fail "the withdrawal failed"
   echo "   $line"
-  wait_in_force "$(sed -n 's/.* revision \([0-9]*\)$/\1/p' <<<"$line")"
+  wait_in_force "$(revision_of "$line")"
+  $ctl status | sed 's/^/   /'
   local before after
   before="$(wc -l <"$WORK/traffic")"
   sleep 1
@@ -119,26 +115,15 @@
 
 versions() { sed -n 's/.*version=\([^ ]*\) .*/\1/p' | sort | uniq -c | awk '{printf "%s x%s  ", $2, $1}'; }
 
-# wait_in_force REVISION waits until every entry instance has these settings.
-wait_in_force() {
-  local tries
-  for tries in $(seq 60); do
-    if [[ "$(in_force "$1")" == "$ENTRY_COUNT" ]]; then
-      $ctl status | sed 's/^/   /'
-      return
-    fi
-    sleep 0.1
-  done
-  fail "the settings are not in force everywhere within 6 s"
-}
-
-# in_force REVISION counts the entry instances that have the revision.
-in_force() {
-  local n count=0
-  for n in $(seq "$ENTRY_COUNT"); do
-    BASILRAIL_ENTRIES="$(operators "$n")" $ctl status | grep -Eq "^entry-$n +.* $1 +current" && count=$((count + 1))
-  done
-  echo "$count"
+# account shows what operators see of one request and of all of them.
+account() {
+  title "What operators see: one request, and the bills"
+  local line
+  line="$(chat 3 --key "$SHOP" --task summarise --stream "Two wardrobes and a desk, ready on Friday")"
+  $ctl explain "$(field request "$line")" |
+    grep -E '"(served_by|version|why|server|outcome|score|total|hop)"' | sed 's/^ */   /'
+  sleep 2
+  $ctl bills | sed 's/^/   /'
 }
 
 fleet_up lagos-main hall-ikeja hall-lekki hall-yaba
@@ -147,6 +132,7 @@
 converse
 book_twice
 withdraw
+account
 check_running
 started=("${PIDS[@]}")
 fleet_down
--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -41,7 +41,7 @@
 
 # fleet_up DEPLOYMENT DOMAIN... starts everything and applies the settings.
 fleet_up() {
-  local deployment="$1" n
+  local deployment="$1" n line
   shift
   WORK="$(mktemp -d)"
   trap fleet_down EXIT
@@ -61,12 +61,43 @@
   BASILRAIL_ENTRIES="$(operators 1),$(operators 2),$(operators 3)"
   # The tool notes beside the documents which revisions they were made from.
   cp -r "$ROOT/examples/$deployment" "$WORK/settings"
-  "$BIN/basilrailctl" apply "$WORK/settings"
+  line="$("$BIN/basilrailctl" apply "$WORK/settings")"
+  echo "$line"
+  wait_in_force "$(revision_of "$line")"
   for n in $(seq "$ENTRY_COUNT"); do
     "$BIN/basilrail-standin" caller wait "$(operators "$n")/health/ready"
   done
 }
 
+# revision_of LINE prints the revision that a change was committed as.
+revision_of() { sed -n 's/.* revision \([0-9]*\)$/\1/p' <<<"$1"; }
+
+# wait_in_force REVISION waits until every entry instance has these settings.
+wait_in_force() {
+  local tries
+  for tries in $(seq 60); do
+    if [[ "$(in_force "$1")" == "$ENTRY_COUNT" ]]; then
+      return
+    fi
+    sleep 0.1
+  done
+  fail "the settings are not in force everywhere within 6 s"
+}
+
+# in_force REVISION counts the entry instances that have the revision.
+in_force() {
+  local n count=0
+  for n in $(seq "$ENTRY_COUNT"); do
+    BASILRAIL_ENTRIES="$(operators "$n")" "$BIN/basilrailctl" status | grep -Eq "^entry-$n +.* $1 +current" && count=$((count + 1))
+  done
+  echo "$count"
+}
+
+fail() {
+  echo "$(basename "$0" .sh): $*" >&2
+  exit 1
+}
+
 # fleet_down ends every process that was started here and waits for it.
 fleet_down() {
   trap - EXIT
