--- a/internal/measure/retrystorm.go
+++ b/internal/measure/retrystorm.go
@@ -23,10 +23,10 @@
 func init() { Register(70, "retry storm", measureRetryStorm) }
 
 const (
-	// maxAttemptRatio and minGoodput are the targets: attempts by request while
+	// maxAttemptRatio and minGoodputAfter are the targets: attempts by request while
 	// half of the servers fail, and goodput after the repair by that before.
 	maxAttemptRatio = 1.2
-	minGoodput      = 0.95
+	minGoodputAfter = 0.95
 	recoverWithin   = 5 * time.Second
 	// stormBefore, stormFailing and stormAfter are the parts of a run.
 	stormBefore  = 4 * time.Second
@@ -97,8 +97,8 @@
 		Baseline: baseline.String(),
 		Ours:     ours.String(),
 		Target: fmt.Sprintf("attempts at most %.1f by request, goodput at least %.2f of before within %s of the repair",
-			maxAttemptRatio, minGoodput, recoverWithin),
-		Pass: ours.attemptRatio() <= maxAttemptRatio && ours.recovery() >= minGoodput,
+			maxAttemptRatio, minGoodputAfter, recoverWithin),
+		Pass: ours.attemptRatio() <= maxAttemptRatio && ours.recovery() >= minGoodputAfter,
 		Note: fmt.Sprintf("while half of the servers fail, goodput is %.2f of before, and %.2f in the baseline, which retries at once up to %d times",
 			ours.goodput(phaseFailing), baseline.goodput(phaseFailing), unboundedAttempts),
 	}}
