Count the content that crashed a server, and prove recovery of whole fleets

Cause: an attempt was taken out of the suspects before its broken connection was looked into, so the one content in flight on a server was never counted. TestCrashingContentCostsTwoServers printed '"11" is not less than or equal to "2"' servers lost. Ruled out: the quarantine's own counting (its tests and the crasher measure, which call it in the right order, are green). Now a crash is told of while the attempt still counts: two servers are lost, the content is refused as quarantined, every innocent request is answered. A process that is just ending may take a probe and break it; the probe is repeated until the server answers or refuses.

New whole-fleet tests in virtual time: bills of a dead instance, ten minutes of store outage with a death, lost store answers, an instance cut off, a crashing content, a bad version stopped while the store is down.

--- a/internal/entry/fleet_test.go
+++ b/internal/entry/fleet_test.go
@@ -15,12 +15,14 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
 	"github.com/stretchr/testify/require"
 
 	"github.com/basilrail/basilrail/internal/apierror"
 	"github.com/basilrail/basilrail/internal/events"
 	"github.com/basilrail/basilrail/internal/pipenet"
+	"github.com/basilrail/basilrail/internal/platform/memtable"
 	"github.com/basilrail/basilrail/internal/settings"
 	"github.com/basilrail/basilrail/internal/standin/booking"
 	"github.com/basilrail/basilrail/internal/standin/engine"
@@ -52,8 +54,10 @@
 	client   *http.Client
 	servers  []*http.Server
 	log      *bytes.Buffer
-	logLock  sync.Mutex
-	changes  int
+	// mu guards the log, the servers and the engines, which crashes replace.
+	mu      sync.Mutex
+	crashes int
+	changes int
 }
 
 // member is one running entry instance.
@@ -62,13 +66,93 @@
 	callers string
 	stop    context.CancelFunc
 	done    chan struct{}
+	wire    *wire
+}
+
+// wire is an instance's own connections to the network, which a test may cut.
+type wire struct {
+	network *pipenet.Network
+	mu      sync.Mutex
+	cut     bool
+	conns   []net.Conn
+}
+
+func (w *wire) dial(ctx context.Context, network, address string) (net.Conn, error) {
+	w.mu.Lock()
+	cut := w.cut
+	w.mu.Unlock()
+	if cut {
+		return nil, errors.New("no route to host")
+	}
+	return w.keep(w.network.Dial(ctx, network, address))
+}
+
+func (w *wire) keep(conn net.Conn, err error) (net.Conn, error) {
+	if err != nil {
+		return nil, err
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.conns = append(w.conns, conn)
+	return conn, nil
+}
+
+// cutOff breaks the instance's connections and keeps it from dialing others; it
+// can still be dialed by callers. Its peers can't dial it either.
+func (w *wire) cutOff() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.cut = true
+	for _, conn := range w.conns {
+		_ = conn.Close()
+	}
+	w.conns = nil
+}
+
+// mend lets the instance dial again.
+func (w *wire) mend() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.cut = false
+}
+
+// listen refuses peers that dial the instance while it is cut off.
+func (w *wire) listen(address string) (net.Listener, error) {
+	listener, err := w.network.Listen(address)
+	if err != nil || !strings.HasSuffix(address, ":8082") {
+		return listener, err
+	}
+	return &cutListener{Listener: listener, wire: w}, nil
+}
+
+// cutListener is the peer listener of an instance.
+type cutListener struct {
+	net.Listener
+	wire *wire
+}
+
+// Accept closes at once what comes while the instance is cut off.
+func (l *cutListener) Accept() (net.Conn, error) {
+	for {
+		conn, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		l.wire.mu.Lock()
+		cut := l.wire.cut
+		l.wire.mu.Unlock()
+		if !cut {
+			return l.wire.keep(conn, nil)
+		}
+		_ = conn.Close()
+	}
 }
 
 // inFleet runs a test in a bubble with entry instances before the lagos-main
 // example, its settings in force.
 func inFleet(t *testing.T, size int, test func(f *fleet)) {
 	t.Helper()
-	synctest.Test(t, func(t *testing.T) {
+	synctest.Test(t, func(*testing.T) {
 		f := newFleet(t)
 		defer f.close()
 		f.startBackends(exampleDocs(t))
@@ -104,12 +188,15 @@
 	return docs
 }
 
-func (f *fleet) serve(address string, handler http.Handler) {
+func (f *fleet) serve(address string, handler http.Handler) *http.Server {
 	listener, err := f.network.Listen(address)
 	require.NoError(f.t, err)
 	server := &http.Server{Handler: handler}
+	f.mu.Lock()
 	f.servers = append(f.servers, server)
+	f.mu.Unlock()
 	go func() { _ = server.Serve(listener) }()
+	return server
 }
 
 // startBackends starts a stand-in for each backend server of the settings.
@@ -128,18 +215,41 @@
 				versions = append(versions, model+"@"+version)
 			}
 		}
-		f.engines[id] = engine.New(engine.Config{
-			Instance:       id,
-			Versions:       versions,
-			Capacity:       server.Capacity,
-			ChecksFencing:  server.Traits.ChecksFencing,
-			ResumesStreams: server.Traits.ResumesStreams,
-			Unacceptable:   map[string]float64{"tagger@v1": 0.3},
-		})
-		f.serve(server.Address, f.engines[id].Handler())
+		f.startEngine(id, server, versions, 1)
 	}
 }
 
+// restartTime is how long a crashed engine takes to come back.
+const restartTime = 2 * time.Second
+
+// startEngine starts the nth process of an engine; when it crashes, its
+// connections and listener go, and another process follows.
+func (f *fleet) startEngine(id string, server settings.Server, versions []string, n int) {
+	listening := make(chan *http.Server, 1)
+	e := engine.New(engine.Config{
+		Instance:       fmt.Sprintf("%s.%d", id, n),
+		Versions:       versions,
+		Capacity:       server.Capacity,
+		ChecksFencing:  server.Traits.ChecksFencing,
+		ResumesStreams: server.Traits.ResumesStreams,
+		Unacceptable:   map[string]float64{"tagger@v1": 0.3},
+		OnCrash: func() {
+			_ = (<-listening).Close()
+			time.AfterFunc(restartTime, func() { f.startEngine(id, server, versions, n+1) })
+		},
+	})
+	f.mu.Lock()
+	if n > 1 {
+		f.crashes++
+	}
+	if old := f.engines[id]; old != nil {
+		e.SetFaults(old.Faults())
+	}
+	f.engines[id] = e
+	f.mu.Unlock()
+	listening <- f.serve(server.Address, e.Handler())
+}
+
 // addEntry starts one more entry instance.
 func (f *fleet) addEntry() *member {
 	n := len(f.entries) + 1
@@ -161,17 +271,18 @@
 	require.NoError(f.t, err)
 	logger := logrus.New()
 	logger.SetOutput(f)
+	w := &wire{network: f.network}
 	instance, err := New(Options{
 		Config:  cfg,
-		Listen:  func(address string) (net.Listener, error) { return f.network.Listen(address) },
-		Dial:    f.network.Dial,
+		Listen:  w.listen,
+		Dial:    w.dial,
 		Log:     events.NewLogger(logger),
 		Tracing: traces,
 		Seed:    testSeed,
 	})
 	require.NoError(f.t, err)
 	ctx, stop := context.WithCancel(context.Background())
-	m := &member{Instance: instance, callers: host + ":8080", stop: stop, done: make(chan struct{})}
+	m := &member{Instance: instance, callers: host + ":8080", stop: stop, done: make(chan struct{}), wire: w}
 	f.entries = append(f.entries, m)
 	go func() {
 		defer close(m.done)
@@ -183,8 +294,8 @@
 
 // Write takes the logs of all instances.
 func (f *fleet) Write(line []byte) (int, error) {
-	f.logLock.Lock()
-	defer f.logLock.Unlock()
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	return f.log.Write(line)
 }
 
@@ -274,3 +385,5 @@
 	body := fmt.Sprintf(`{"model":%q,"stream":true,"messages":[{"role":"user","content":%q}]}`, model, prompt)
 	return f.call(n, key, http.MethodPost, "/v1/chat/completions", body, headers...)
 }
+
+func tableLosesAnswers() memtable.Faults { return memtable.Faults{LoseAnswers: true} }
--- a/internal/entry/promises_test.go
+++ b/internal/entry/promises_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"bytes"
+	"maps"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -44,7 +46,7 @@
 // received counts the attempts that engines began, by version and in all.
 func (f *fleet) received() map[string]int {
 	counts := make(map[string]int)
-	for _, e := range f.engines {
+	for _, e := range f.allEngines() {
 		for _, a := range e.Received() {
 			counts[a.Model]++
 		}
@@ -54,7 +56,7 @@
 
 // ran tells whether any backend server began the request.
 func (f *fleet) ran(requestID string) bool {
-	for _, e := range f.engines {
+	for _, e := range f.allEngines() {
 		for _, a := range e.Received() {
 			if strings.HasPrefix(a.ID, requestID) {
 				return true
@@ -73,11 +75,18 @@
 
 // setFaults sets the same faults on every engine.
 func (f *fleet) setFaults(faults engine.Faults) {
-	for _, e := range f.engines {
+	for _, e := range f.allEngines() {
 		e.SetFaults(faults)
 	}
 }
 
+// allEngines lists the engines' present processes.
+func (f *fleet) allEngines() []*engine.Engine {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return slices.Collect(maps.Values(f.engines))
+}
+
 func TestWithdrawnVersionGetsNoNewWork(t *testing.T) {
 	inFleet(t, 3, func(f *fleet) {
 		first := f.chat(0, shopA, "writer", "oak wardrobe")
--- /dev/null
+++ b/internal/entry/recovery_test.go
@@ -0,0 +1,193 @@
+package entry
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"strconv"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/basilrail/basilrail/internal/apierror"
+	"github.com/basilrail/basilrail/internal/billing"
+	"github.com/basilrail/basilrail/internal/gateway"
+	"github.com/basilrail/basilrail/internal/settings"
+	"github.com/basilrail/basilrail/internal/standin/engine"
+	"github.com/basilrail/basilrail/internal/standin/platformserver"
+)
+
+// flushTime is long enough for peers to store the bills of an instance that died.
+const flushTime = time.Minute
+
+func (f *fleet) storeDown(down bool) {
+	faults := f.platform.Faults()
+	faults.Table.Down = down
+	f.platform.SetFaults(faults)
+}
+
+// stored reads all bills from the table service.
+func (f *fleet) stored() billing.Reconciliation {
+	f.t.Helper()
+	sum, err := billing.NewReader(f.platform.Table()).Reconcile(context.Background(), time.Time{}, time.Time{})
+	require.NoError(f.t, err)
+	assert.Empty(f.t, sum.Conflicts, "bills of one request that differ")
+	return sum
+}
+
+// bills counts the bills and adds up their totals.
+func bills(r billing.Reconciliation) (count int, total settings.MicroUnits) {
+	for _, account := range r.Accounts {
+		count += account.Bills
+		total += account.Total
+	}
+	return count, total
+}
+
+// answered sends chats and returns their number and the cost told to callers.
+func (f *fleet) answered(n, count int) (cost settings.MicroUnits) {
+	f.t.Helper()
+	for i := range count {
+		got := f.chat(n, shopA, "writer", fmt.Sprintf("wardrobe %d", i))
+		require.Equal(f.t, http.StatusOK, got.status, string(got.body))
+		micro, err := strconv.ParseInt(got.header.Get(gateway.HeaderCost), 10, 64)
+		require.NoError(f.t, err)
+		cost += settings.MicroUnits(micro)
+	}
+	return cost
+}
+
+func TestBillsOutliveTheirInstance(t *testing.T) {
+	inFleet(t, 3, func(f *fleet) {
+		cost := f.answered(0, 30)
+		f.kill(0)
+		time.Sleep(flushTime)
+		count, total := bills(f.stored())
+		assert.Equal(t, 30, count)
+		assert.Equal(t, cost, total)
+	})
+}
+
+// A long store outage together with the death of an instance: requests are
+// answered, nothing that needs a claim runs, and every bill is stored once after.
+func TestStoreOutageWithTheDeathOfAnInstance(t *testing.T) {
+	inFleet(t, 4, func(f *fleet) {
+		f.storeDown(true)
+		time.Sleep(settleTime)
+		cost := f.answered(0, 10)
+		booked := f.call(1, shopA, http.MethodPost, "/v1/services/booking/bookings", "{}", gateway.HeaderIdempotencyKey, "k1")
+		require.NotNil(t, booked.refusal(), string(booked.body))
+		assert.Equal(t, apierror.CodeStoreUnavailable, booked.refusal().Code)
+		assert.Equal(t, apierror.NotRun, booked.refusal().Ran)
+		assert.Positive(t, booked.refusal().RetryAfterSeconds)
+		assert.Zero(t, f.executions())
+		f.kill(0)
+		time.Sleep(10 * time.Minute)
+		cost += f.answered(1, 10)
+		f.storeDown(false)
+		time.Sleep(flushTime)
+		count, total := bills(f.stored())
+		assert.Equal(t, 20, count)
+		assert.Equal(t, cost, total)
+		again := f.call(2, shopA, http.MethodPost, "/v1/services/booking/bookings", "{}", gateway.HeaderIdempotencyKey, "k1")
+		assert.Equal(t, http.StatusCreated, again.status, string(again.body))
+	})
+}
+
+// The store applies writes and loses the answers, for claims and bills alike.
+func TestLostStoreAnswers(t *testing.T) {
+	inFleet(t, 3, func(f *fleet) {
+		f.platform.SetFaults(platformserver.Faults{Table: tableLosesAnswers()})
+		cost := f.answered(0, 10)
+		for n := range f.entries {
+			got := f.call(n, shopA, http.MethodPost, "/v1/services/booking/bookings", "{}", gateway.HeaderIdempotencyKey, "k1")
+			assert.Equal(t, http.StatusCreated, got.status, string(got.body))
+		}
+		assert.Equal(t, 1, f.executions())
+		time.Sleep(flushTime)
+		count, total := bills(f.stored())
+		assert.Equal(t, 11, count, "ten chats and one booking")
+		assert.Equal(t, cost+500, total)
+	})
+}
+
+// An instance that neither the store nor a peer reaches does not know of a
+// withdrawal; it must take no new work.
+func TestCutOffInstanceTakesNoWork(t *testing.T) {
+	inFleet(t, 3, func(f *fleet) {
+		f.entries[0].wire.cutOff()
+		time.Sleep(settleTime)
+		f.apply(1, f.edit("/models/writer", "output_cost: 360", "output_cost: 360\n    withdrawn: true"))
+		got := f.chat(0, shopA, "writer@v1", "oak wardrobe")
+		require.NotNil(t, got.refusal(), string(got.body))
+		assert.Equal(t, apierror.CodeSettingsStale, got.refusal().Code)
+		assert.Equal(t, apierror.NotRun, got.refusal().Ran)
+		assert.Positive(t, got.refusal().RetryAfterSeconds)
+		f.entries[0].wire.mend()
+		time.Sleep(3 * settleTime)
+		got = f.chat(0, shopA, "writer@v1", "oak wardrobe")
+		require.NotNil(t, got.refusal(), string(got.body))
+		assert.Equal(t, apierror.CodeVersionWithdrawn, got.refusal().Code)
+	})
+}
+
+// One content crashes every engine that runs it and is sent again and again,
+// to every instance, among innocent requests.
+func TestCrashingContentCostsTwoServers(t *testing.T) {
+	inFleet(t, 3, func(f *fleet) {
+		f.setFaults(engine.Faults{CrashOn: "poison", SlowMillis: 50})
+		var innocents, culprits sync.WaitGroup
+		for i := range 30 {
+			innocents.Go(func() {
+				time.Sleep(time.Duration(i) * 200 * time.Millisecond)
+				got := f.chat(i%3, "demo-ikoyi-depot", "tagger@v1", fmt.Sprintf("wardrobe %d", i), gateway.HeaderDeadline, "60000")
+				assert.Equal(t, http.StatusOK, got.status, "innocent request %d: %s", i, got.body)
+			})
+		}
+		var last reply
+		culprits.Go(func() {
+			for i := range 12 {
+				last = f.chat(i%3, shopA, "tagger@v1", "poison", gateway.HeaderDeadline, "20000")
+				time.Sleep(time.Second)
+			}
+		})
+		culprits.Wait()
+		innocents.Wait()
+		time.Sleep(settleTime)
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		assert.LessOrEqual(t, f.crashes, 2)
+		require.NotNil(t, last.refusal(), string(last.body))
+		assert.Equal(t, apierror.CodeQuarantined, last.refusal().Code)
+	})
+}
+
+// A version on roll-out turns out bad while the store is down: every instance
+// stops using it, and its withdrawal is stored when the store is back.
+func TestBadVersionIsStoppedDuringAStoreOutage(t *testing.T) {
+	inFleet(t, 3, func(f *fleet) {
+		f.apply(0, f.edit("/teams/ikoyi/rollouts/writer-v2", "stage: 0", "stage: 2"))
+		f.setFaults(engine.Faults{BadRate: map[string]float64{"writer@v2": 0.9}})
+		time.Sleep(settleTime)
+		f.storeDown(true)
+		for i := range 300 {
+			f.chat(i%3, shopA, "writer", fmt.Sprintf("wardrobe %d", i))
+			time.Sleep(100 * time.Millisecond)
+		}
+		time.Sleep(settleTime)
+		before := f.received()["writer@v2"]
+		require.Positive(t, before)
+		for i := range 60 {
+			got := f.chat(i%3, shopA, "writer", fmt.Sprintf("chest %d", i))
+			assert.Equal(t, "writer@v1", got.header.Get(gateway.HeaderVersion), string(got.body))
+		}
+		assert.Equal(t, before, f.received()["writer@v2"], "attempts on the suspended version")
+		f.storeDown(false)
+		time.Sleep(flushTime)
+		rollout := f.entries[2].data.Snapshot().Settings.Tree.Rollouts["ikoyi"]["writer-v2"]
+		assert.Equal(t, settings.RolloutWithdrawn, rollout.Status)
+	})
+}
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -225,8 +225,14 @@
 	w.r.fire(statechart.RequestSend)
 }
 
-// end gives back what the attempt held. Tokens are those really used.
-func (p *placement) end(err error, tokens int64) {
+// end gives back what the attempt held. Tokens are those really used. A crash is
+// told of first, while the attempt still counts as in flight on the server: it
+// may be the one that crashed it.
+func (p *placement) end(ctx context.Context, err error, tokens int64) {
+	var failure *backend.Error
+	if errors.As(err, &failure) && failure.Crashed {
+		p.work.r.gateway.Suspects.Broken(ctx, p.server, p.instance)
+	}
 	p.server.End(p.work.tokens)
 	p.work.r.gateway.Suspects.End(p.id, err == nil)
 	p.grant.Release(tokens)
--- a/internal/gateway/chat.go
+++ b/internal/gateway/chat.go
@@ -318,7 +318,7 @@
 	if err == nil {
 		tokens = int64(completion.Usage.PromptTokens + completion.Usage.CompletionTokens)
 	}
-	p.end(err, tokens)
+	p.end(ctx, err, tokens)
 	return completion, err
 }
 
--- a/internal/gateway/failure.go
+++ b/internal/gateway/failure.go
@@ -15,7 +15,7 @@
 
 // failed takes in a failed attempt; it returns nil when the work may be tried again.
 func (w *work) failed(ctx context.Context, p *placement, err error) *apierror.Error {
-	failure := w.note(ctx, p, err)
+	failure := w.note(p, err)
 	if ctx.Err() != nil {
 		return gaveUp(ctx).WithRan(w.r.ran)
 	}
@@ -32,7 +32,7 @@
 }
 
 // note tells everybody concerned how an attempt failed.
-func (w *work) note(ctx context.Context, p *placement, err error) *backend.Error {
+func (w *work) note(p *placement, err error) *backend.Error {
 	var failure *backend.Error
 	if !errors.As(err, &failure) {
 		failure = &backend.Error{Fate: backend.Broken, Server: p.server.ID}
@@ -40,9 +40,6 @@
 	g := w.r.gateway
 	w.r.sawFate(failure.Fate.Ran())
 	g.Servers.Report(failure)
-	if failure.Crashed {
-		g.Suspects.Broken(ctx, p.server, p.instance)
-	}
 	if failure.Fate > backend.Refused {
 		p.line(backend.Usage{}, 0, false)
 	}
--- a/internal/gateway/service.go
+++ b/internal/gateway/service.go
@@ -206,7 +206,7 @@
 		Header:    s.headers(),
 		Body:      s.body,
 	})
-	p.end(err, serviceTokens)
+	p.end(ctx, err, serviceTokens)
 	return answer, err
 }
 
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -83,7 +83,7 @@
 	}
 	l.placement = p
 	err := l.pump(ctx, p)
-	p.end(err, int64(len(l.choices)))
+	p.end(ctx, err, int64(len(l.choices)))
 	switch {
 	case err == nil:
 		l.c.sawFate(apierror.DidRun)
@@ -176,7 +176,7 @@
 // broken takes in a stream that broke after its first chunk: it is resumed
 // where the server can, or it ends with an explicit error event.
 func (l *live) broken(ctx context.Context, p *placement, err error) (*apierror.Error, bool) {
-	l.work.note(ctx, p, err)
+	l.work.note(p, err)
 	if ctx.Err() != nil || !p.server.Settings.Traits.ResumesStreams || l.resumes == maxResumes {
 		l.billUnfinished(ctx)
 		return interrupted(), false
--- a/internal/serverwatch/attempts.go
+++ b/internal/serverwatch/attempts.go
@@ -9,6 +9,7 @@
 
 	"github.com/basilrail/basilrail/internal/backend"
 	"github.com/basilrail/basilrail/internal/statechart"
+	"github.com/basilrail/basilrail/internal/wait"
 )
 
 // Report takes in how an attempt failed.
@@ -69,7 +70,7 @@
 	if !ok {
 		return false
 	}
-	got, err := w.ask(ctx, address)
+	got, err := w.askUntilClear(ctx, address)
 	refused := errors.Is(err, syscall.ECONNREFUSED)
 	crashed := refused || err == nil && instance != "" && got.Instance != instance
 	if crashed {
@@ -78,6 +79,25 @@
 	return crashed
 }
 
+const (
+	// confirmTries bounds the probes that confirm a crash.
+	confirmTries = 3
+	// confirmPause is the wait before the next one.
+	confirmPause = 100 * time.Millisecond
+)
+
+// askUntilClear asks until the server answers or refuses the connection: a
+// process that is just ending may still take a connection and break it.
+func (w *Watcher) askUntilClear(ctx context.Context, address string) (got report, err error) {
+	for range confirmTries {
+		got, err = w.ask(ctx, address)
+		if err == nil || errors.Is(err, syscall.ECONNREFUSED) || wait.For(ctx, confirmPause) != nil {
+			return got, err
+		}
+	}
+	return got, err
+}
+
 func (w *Watcher) addressOf(server string) (string, bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -45,6 +45,9 @@
 	ChecksFencing bool
 	// ResumesStreams lets a caller continue a cut stream.
 	ResumesStreams bool
+	// OnCrash, if set, runs first in a crash, to end the listener as the death of
+	// a process would; without it the engine only breaks its connections for a while.
+	OnCrash func()
 	// Unacceptable is, by "model@version", the fraction of prompts that the
 	// version is too weak for, 0 to 1.
 	Unacceptable map[string]float64
@@ -110,6 +113,9 @@
 // SetFaults replaces the fault switches.
 func (e *Engine) SetFaults(f Faults) { e.faults.Set(f) }
 
+// Faults returns the fault switches.
+func (e *Engine) Faults() Faults { return e.faults.Get() }
+
 // Received lists the attempts that reached the engine and were not refused.
 func (e *Engine) Received() []Attempt {
 	e.mu.Lock()
@@ -150,6 +156,9 @@
 
 // crashNow closes every connection in flight and stays away for a while.
 func (e *Engine) crashNow() {
+	if e.cfg.OnCrash != nil {
+		e.cfg.OnCrash()
+	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	stay := time.Duration(e.faults.Get().CrashMillis) * time.Millisecond
