Ask a server once for all attempts that broke together

A crash breaks up to a batch of attempts at the same moment, and each asked the server's status: 64 questions for 64 attempts, now at most 2. Trial without the join: TestConfirmCrash, "64" is not less than or equal to "2".

--- a/internal/quarantine/quarantine_test.go
+++ b/internal/quarantine/quarantine_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/basilrail/basilrail/internal/peers"
 	"github.com/basilrail/basilrail/internal/peers/membus"
 	"github.com/basilrail/basilrail/internal/platform"
 	"github.com/basilrail/basilrail/internal/platform/memtable"
@@ -138,6 +139,33 @@
 	})
 }
 
+// muteBus loses every broadcast.
+type muteBus struct{ peers.Bus }
+
+func (muteBus) Broadcast(peers.Kind, any) {}
+
+// Who takes a content's slot after a crash learns of the crash with it, also
+// when the broadcast is lost.
+func TestSlotCarriesTheCrash(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		network := membus.New()
+		var entries []*Quarantine
+		for i := range 3 {
+			bus := muteBus{network.Join(fmt.Sprint("entry-", i), "a")}
+			entries = append(entries, New(Options{Bus: bus, Rand: rand.New(rand.NewPCG(1, uint64(i)))}))
+		}
+		sender, next := entries[1], entries[2]
+		crashOnce(sender, "s1", culprit)
+		placed, err := sender.Place(t.Context(), culprit, "a", servers)
+		require.NoError(t, err)
+		sender.Begin(placed, "p1", culprit, "a")
+		sender.Crashed(placed, "p1")
+		sender.End("a", false)
+		_, err = next.Place(t.Context(), culprit, "b", servers)
+		require.ErrorIs(t, err, ErrQuarantined)
+	})
+}
+
 // A suspect that another instance has in flight keeps its server closed to others.
 func TestRunningSuspectHoldsItsServer(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/serverwatch/attempts.go
+++ b/internal/serverwatch/attempts.go
@@ -65,6 +65,14 @@
 // in the network, a frozen or a powered-off machine is no crash, so that it
 // makes no suspects of the requests in flight.
 func (w *Watcher) ConfirmCrash(ctx context.Context, server, instance string) bool {
+	// Every attempt in flight on the process asks at the same moment.
+	crashed, _, _ := w.confirms.Do(server+"/"+instance, func() (any, error) {
+		return w.confirmCrash(ctx, server, instance), nil
+	})
+	return crashed.(bool)
+}
+
+func (w *Watcher) confirmCrash(ctx context.Context, server, instance string) bool {
 	address, ok := w.addressOf(server)
 	if !ok {
 		return false
--- a/internal/serverwatch/watcher.go
+++ b/internal/serverwatch/watcher.go
@@ -15,6 +15,7 @@
 	"sync"
 	"time"
 
+	"golang.org/x/sync/singleflight"
 	"golang.org/x/time/rate"
 
 	"github.com/basilrail/basilrail/internal/datastore"
@@ -73,6 +74,8 @@
 	limiter *rate.Limiter
 	wake    chan struct{}
 	probes  sync.WaitGroup
+	// confirms joins the questions of attempts that broke together.
+	confirms singleflight.Group
 
 	mu      sync.Mutex
 	rand    *rand.Rand
--- a/internal/serverwatch/watcher_test.go
+++ b/internal/serverwatch/watcher_test.go
@@ -15,6 +15,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
 	"github.com/basilrail/basilrail/internal/backend"
@@ -23,6 +24,7 @@
 	"github.com/basilrail/basilrail/internal/platform"
 	"github.com/basilrail/basilrail/internal/settings"
 	"github.com/basilrail/basilrail/internal/statechart"
+	"github.com/basilrail/basilrail/internal/wait"
 )
 
 // servers answers status requests in place of the network, by address.
@@ -57,6 +59,10 @@
 }
 
 func (s *servers) RoundTrip(req *http.Request) (*http.Response, error) {
+	// An answer takes a moment, as over a network.
+	if err := wait.For(req.Context(), time.Millisecond); err != nil {
+		return nil, err
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.asked++
@@ -201,7 +207,14 @@
 			synctest.Test(t, func(t *testing.T) {
 				f := newFleet(t, 1, 2)
 				f.servers.set(0, test.report, test.err)
-				require.Equal(t, test.want, f.watchers[0].ConfirmCrash(t.Context(), "s0", "p1"))
+				const together = 64
+				before := f.servers.count()
+				var confirms sync.WaitGroup
+				for range together {
+					confirms.Go(func() { assert.Equal(t, test.want, f.watchers[0].ConfirmCrash(t.Context(), "s0", "p1")) })
+				}
+				confirms.Wait()
+				require.LessOrEqual(t, f.servers.count()-before, 2, "attempts that break together ask once")
 			})
 		})
 	}
