--- a/Makefile
+++ b/Makefile
@@ -40,3 +40,6 @@
 
 run: build
 	bash scripts/run.sh
+
+capacity:
+	$(GO) run ./cmd/basilrail-capacity
