Unload versions only when no request can be in flight on them

A withdrawn version was unloaded at once, under the requests still running on it. Now an unload has to stand in the plan for 15 minutes, longer than the default stream time. Trial without the wait: TestUnloadWaits, version 3 is gone.

--- a/internal/orders/giver.go
+++ b/internal/orders/giver.go
@@ -30,6 +30,9 @@
 	repeatAfter = 30 * time.Second
 	// maxOrders bounds the orders under way, for the weight store's sake.
 	maxOrders = 4
+	// unloadAfter is how long nobody may have wanted a version before it is
+	// unloaded, so that no request in flight on it is cut off.
+	unloadAfter = 15 * time.Minute
 	// fleetLeaseReadsPerSecond bounds the reads of the lease by the whole fleet.
 	fleetLeaseReadsPerSecond = 20
 	// maxRemembered bounds the memory of orders given.
@@ -62,7 +65,9 @@
 
 	mu sync.Mutex
 	// given is when each order was last given.
-	given    map[Order]time.Time
+	given map[Order]time.Time
+	// planned is since when each order has stood in the plan.
+	planned  map[Order]time.Time
 	underway map[Order]bool
 	holding  bool
 }
@@ -77,6 +82,7 @@
 		fleet:    o.FleetSize,
 		rand:     o.Rand,
 		given:    make(map[Order]time.Time),
+		planned:  make(map[Order]time.Time),
 		underway: make(map[Order]bool),
 	}
 }
@@ -122,7 +128,9 @@
 		return
 	}
 	snapshot := g.store.Snapshot()
-	for _, o := range Plan(snapshot) {
+	plan := Plan(snapshot)
+	g.note(plan)
+	for _, o := range plan {
 		server, ok := snapshot.Servers[o.Server]
 		if !ok || !g.begin(o) {
 			continue
@@ -131,6 +139,21 @@
 	}
 }
 
+// note keeps since when each order has stood in the plan.
+func (g *Giver) note(plan []Order) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	planned := make(map[Order]time.Time, len(plan))
+	for _, o := range plan {
+		since, ok := g.planned[o]
+		if !ok {
+			since = time.Now()
+		}
+		planned[o] = since
+	}
+	g.planned = planned
+}
+
 // tellLease logs the change of the hold.
 func (g *Giver) tellLease(held bool) {
 	g.mu.Lock()
@@ -144,6 +167,7 @@
 		return
 	}
 	clear(g.given)
+	clear(g.planned)
 	g.logger.Log(events.OrderLeaseLost, events.Fields{})
 }
 
@@ -151,6 +175,9 @@
 func (g *Giver) begin(o Order) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	if o.Action == ActionUnload && time.Since(g.planned[o]) < unloadAfter {
+		return false
+	}
 	last, repeated := g.given[o]
 	if g.underway[o] || len(g.underway) >= maxOrders || repeated && time.Since(last) < repeatAfter {
 		return false
--- a/internal/orders/orders_test.go
+++ b/internal/orders/orders_test.go
@@ -227,6 +227,28 @@
 	}
 }
 
+// A withdrawn version is unloaded only when no request can be in flight on it.
+func TestUnloadWaits(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const n = 2
+		e, store := newEngines(n, true), newStore(n)
+		for i := range n {
+			e.loaded[address(i)] = map[string]bool{one.String(): true, two.String(): true, three.String(): true}
+		}
+		report(store, e, n)
+		g := New(Options{
+			Table: memtable.New(), Store: store, Client: &http.Client{Transport: e}, Self: "a",
+			FleetSize: func() int { return 1 }, Rand: rand.New(rand.NewPCG(1, 1)),
+		})
+		go g.Run(t.Context())
+		time.Sleep(unloadAfter - time.Minute)
+		require.Contains(t, e.versions(0), three)
+		time.Sleep(2 * time.Minute)
+		require.NotContains(t, e.versions(0), three)
+		require.Contains(t, e.versions(0), two)
+	})
+}
+
 // A holder that a server refuses gives no further orders under its number.
 func TestFencedHolderStops(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
