--- a/internal/quarantine/place.go
+++ b/internal/quarantine/place.go
@@ -41,7 +41,7 @@
 	}
 	server, err := q.place(ctx, fp, attempt, candidates)
 	if err != nil {
-		q.askSlot(context.WithoutCancel(ctx), slotRelease, contentKey(fp), attempt, fp)
+		go q.askSlot(context.WithoutCancel(ctx), slotRelease, contentKey(fp), attempt, fp)
 		return "", err
 	}
 	q.mu.Lock()
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -150,7 +150,8 @@
 		q.bus.Broadcast(peers.KindSuspect, suspectsMessage{Records: []recordMessage{*cleared}})
 	}
 	if placed.server != "" {
-		q.release(placed, attempt)
+		// The caller's answer does not wait for the arbiters.
+		go q.release(placed, attempt)
 	}
 }
 
--- a/internal/quarantine/records.go
+++ b/internal/quarantine/records.go
@@ -6,7 +6,7 @@
 )
 
 const (
-	// maxRecords bounds the memory: about 300 bytes a record.
+	// maxRecords bounds the memory: about 230 bytes a record.
 	maxRecords = 16384
 	// suspectTTL is how long a crash counts against a content.
 	suspectTTL = time.Hour
--- a/internal/rollout/controller.go
+++ b/internal/rollout/controller.go
@@ -62,6 +62,7 @@
 	mu          sync.Mutex
 	rand        *rand.Rand
 	started     time.Time
+	forgotAt    time.Time
 	revision    uint64
 	pool        *pool
 	own         map[Trial]Counts
--- a/internal/rollout/judge.go
+++ b/internal/rollout/judge.go
@@ -25,6 +25,9 @@
 	c.markStages(s, now)
 	var found []Suspension
 	for trial, total := range c.pool.totals {
+		if !trial.known(s) {
+			continue
+		}
 		if suspension, ok := c.judgeTrial(s, trial, total); ok {
 			found = append(found, suspension)
 		}
@@ -32,8 +35,15 @@
 	return found
 }
 
+// forgetInterval is the time between two searches for what is no longer needed.
+const forgetInterval = time.Minute
+
 // forget drops what the settings no longer name.
 func (c *Controller) forget(s *settings.Snapshot, now time.Time) {
+	if now.Sub(c.forgotAt) < forgetInterval {
+		return
+	}
+	c.forgotAt = now
 	c.pool.expire(s, now)
 	for trial := range c.watches {
 		if !trial.known(s) {
