--- a/internal/billing/handover.go
+++ b/internal/billing/handover.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sort"
+	"sync"
 	"time"
 
 	"github.com/basilrail/basilrail/internal/peers"
@@ -10,9 +11,13 @@
 )
 
 const (
-	// smallWindow and largeWindow are how long records are gathered for one
-	// handover; a larger fleet shares more of each message's overhead.
+	// maxHandovers is the number of handovers under way above which a small fleet
+	// gathers records; below it each leaves at once, since its caller waits.
+	maxHandovers = 1
+	// smallWindow is the longest that a small fleet gathers records.
 	smallWindow = 5 * time.Millisecond
+	// largeWindow is how long a large fleet always gathers records, to share more
+	// of each message's overhead.
 	largeWindow = 40 * time.Millisecond
 	// handoverTimeout bounds the wait for a peer's acknowledgement.
 	handoverTimeout = 250 * time.Millisecond
@@ -31,13 +36,6 @@
 	return 1
 }
 
-func handoverWindow(instances int) time.Duration {
-	if instances <= smallFleet {
-		return smallWindow
-	}
-	return largeWindow
-}
-
 func (l *Ledger) instances() int { return len(l.cfg.Bus.Peers()) + 1 }
 
 func (l *Ledger) handoverLoop(ctx context.Context) {
@@ -47,13 +45,38 @@
 			return
 		case <-l.handoverDue:
 		}
-		if wait.For(ctx, handoverWindow(l.instances())) != nil {
-			return
-		}
-		for _, b := range l.takeDue() {
-			go l.deliver(ctx, b)
-		}
+		done := l.gather(ctx)
+		go func() {
+			defer done()
+			l.deliverAll(ctx, l.takeDue())
+		}()
+	}
+}
+
+// gather waits until another handover may leave; done ends it.
+func (l *Ledger) gather(ctx context.Context) (done func()) {
+	if l.instances() > smallFleet {
+		// The context's end is seen by the delivery.
+		_ = wait.For(ctx, largeWindow)
+		return func() {}
+	}
+	timer := time.NewTimer(smallWindow)
+	defer timer.Stop()
+	select {
+	case l.handovers <- struct{}{}:
+		return func() { <-l.handovers }
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	return func() {}
+}
+
+func (l *Ledger) deliverAll(ctx context.Context, batches []*batch) {
+	var deliveries sync.WaitGroup
+	for _, b := range batches {
+		deliveries.Go(func() { l.deliver(ctx, b) })
 	}
+	deliveries.Wait()
 }
 
 // deliver hands a batch to peers until one acknowledges it, or its block is
--- /dev/null
+++ b/internal/gateway/record.go
@@ -0,0 +1,79 @@
+package gateway
+
+import (
+	"time"
+
+	"github.com/basilrail/basilrail/internal/apierror"
+	"github.com/basilrail/basilrail/internal/billing"
+	"github.com/basilrail/basilrail/internal/cascade"
+	"github.com/basilrail/basilrail/internal/scheduling"
+	"github.com/basilrail/basilrail/internal/settings"
+	"github.com/basilrail/basilrail/internal/statechart"
+)
+
+// maxRecordedAttempts bounds what a Record tells of one request.
+const maxRecordedAttempts = 16
+
+// RecordSink keeps what requests did, for operators.
+type RecordSink interface {
+	Add(r *Record)
+}
+
+// Record is what one request did and why.
+type Record struct {
+	RequestID string             `json:"request_id"`
+	Account   settings.AccountID `json:"client_account"`
+	Task      string             `json:"task,omitempty"`
+	StartedAt time.Time          `json:"started_at"`
+	Duration  time.Duration      `json:"duration_ns"`
+	// State is where the request's life ended.
+	State statechart.State `json:"state"`
+	// Plan tells of each version why it was or was not to be tried.
+	Plan     []PlanVerdict   `json:"plan,omitempty"`
+	Attempts []AttemptRecord `json:"attempts,omitempty"`
+	Bill     *billing.Record `json:"bill,omitempty"`
+	Refusal  *apierror.Error `json:"refusal,omitempty"`
+	// Streaming is set once the answer's headers were sent as an event stream.
+	Streaming bool `json:"streaming,omitempty"`
+	// TraceID links to the request's spans.
+	TraceID string `json:"trace_id,omitempty"`
+}
+
+// PlanVerdict is why a version was or was not to be tried.
+type PlanVerdict struct {
+	Version string      `json:"version"`
+	Why     cascade.Why `json:"why"`
+}
+
+// AttemptRecord is one attempt of a request.
+type AttemptRecord struct {
+	ID         string                 `json:"id"`
+	Target     string                 `json:"target"`
+	Server     string                 `json:"server,omitempty"`
+	Candidates []scheduling.Candidate `json:"candidates,omitempty"`
+	Queued     time.Duration          `json:"queued_ns"`
+	Duration   time.Duration          `json:"duration_ns"`
+	// Outcome says how the attempt ended.
+	Outcome string `json:"outcome"`
+	// Score is the rating, if it was rated.
+	Score *float64 `json:"score,omitempty"`
+}
+
+func newRecord(id string) *Record {
+	return &Record{RequestID: id, StartedAt: time.Now()}
+}
+
+// attempt adds an attempt; the pointer stands until the next one is added.
+func (r *Record) attempt(id, target string) *AttemptRecord {
+	if len(r.Attempts) == maxRecordedAttempts {
+		r.Attempts = r.Attempts[1:]
+	}
+	r.Attempts = append(r.Attempts, AttemptRecord{ID: id, Target: target})
+	return &r.Attempts[len(r.Attempts)-1]
+}
+
+func (r *Record) end(req *request, refusal *apierror.Error) {
+	r.Duration = time.Since(r.StartedAt)
+	r.State = req.life.State()
+	r.Refusal = refusal
+}
--- a/internal/peers/bus.go
+++ b/internal/peers/bus.go
@@ -40,6 +40,10 @@
 	KindServerState
 	// KindExplain asks for one request's record.
 	KindExplain
+	// KindSuspectSlot asks for, holds or gives back a server's slot for suspect content.
+	KindSuspectSlot
+	// KindRatings carries rated answers by client account, task and version.
+	KindRatings
 )
 
 // KindCommit asks a peer to commit a transaction to the table service.
