Wait for the broadcasts' handlers in the frozen-peer test

One run on a busy machine printed 'expected: 200, actual: 199': the last broadcast's handler runs beside the reply that the test waits for. The test now waits until every goroutine is idle and asks for the same 200. Ruled out: a drop, since each broadcast is followed by a reply over the same link.

--- a/internal/peers/mesh/mesh_test.go
+++ b/internal/peers/mesh/mesh_test.go
@@ -61,6 +61,7 @@
 		}
 		require.Zero(t, time.Since(start), "no call waited for the frozen peer")
 		require.Positive(t, a.Stats().Dropped, "what does not fit the queue is dropped")
+		synctest.Wait() // the handlers of broadcasts run beside the replies
 		require.Equal(t, 200, c.count())
 
 		time.Sleep(silenceLimit + 2*keepaliveInterval)
