Check the claims' histories for linearizability

The race test records each acquire, complete and release with its virtual times, and porcupine checks them against a sequential key.

--- a/internal/claim/service_test.go
+++ b/internal/claim/service_test.go
@@ -5,6 +5,8 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"os"
+	"strconv"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -80,63 +82,110 @@
 	return s
 }
 
-// TestOneSendWhateverTheStoreDoes lets three entries race for one key while
-// each call to the store has a random fate and owners freeze or give back.
+const (
+	raceSeeds    = 300
+	raceEntries  = 3
+	raceAttempts = 12
+	// firstSeedVariable moves the seeds, for runs with fresh ones.
+	firstSeedVariable = "BASILRAIL_TEST_FIRST_SEED"
+)
+
+// TestOneSendWhateverTheStoreDoes lets entries race for one key while each call
+// to the store has a random fate and owners freeze or give back.
 func TestOneSendWhateverTheStoreDoes(t *testing.T) {
-	for seed := range uint64(300) {
+	first, _ := strconv.ParseUint(os.Getenv(firstSeedVariable), 10, 64)
+	for seed := first; seed < first+raceSeeds; seed++ {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) { race(t, seed) })
+			synctest.Test(t, func(t *testing.T) { newRace(t, seed).run() })
 		})
 	}
 }
 
-func race(t *testing.T, seed uint64) {
+// race is one key and those who want it.
+type race struct {
+	t       *testing.T
+	table   *chaosTable
+	random  *rand.Rand
+	entries []*Service
+	history *history
+
+	mu   sync.Mutex
+	sent []string
+}
+
+func newRace(t *testing.T, seed uint64) *race {
+	return &race{
+		t:       t,
+		table:   &chaosTable{Table: memtable.New(), rand: rand.New(rand.NewPCG(seed, 1))},
+		random:  rand.New(rand.NewPCG(seed, 2)),
+		history: &history{ghosts: make(map[string]bool)},
+	}
+}
+
+func (r *race) run() {
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	table := &chaosTable{Table: memtable.New(), rand: rand.New(rand.NewPCG(seed, 1))}
-	random := rand.New(rand.NewPCG(seed, 2))
-	entries := []*Service{newService(ctx, table), newService(ctx, table), newService(ctx, table)}
-	var mu sync.Mutex
-	var sent []string
-	attempt := func(s *Service, id string, pause time.Duration, act int) {
-		time.Sleep(pause)
-		result := s.Acquire(ctx, testKey, testBody, id)
-		if result.Status == Completed {
-			require.Equal(t, result.OwnerRequestID, string(result.Outcome.Body))
-		}
-		if result.Status != Owned {
-			return
-		}
-		if act == 0 {
-			_ = s.Release(ctx, testKey, id)
-			return
-		}
-		mu.Lock()
-		sent = append(sent, id)
-		mu.Unlock()
-		if act > 1 {
-			time.Sleep(pause)
-			_ = s.Complete(ctx, testKey, id, Outcome{Status: 200, Body: []byte(id)})
-		}
+	for range raceEntries {
+		r.entries = append(r.entries, newService(ctx, r.table))
 	}
 	var attempts sync.WaitGroup
-	for i := range 12 {
-		pause := time.Duration(random.IntN(3)) * time.Second
-		act := random.IntN(4)
-		attempts.Go(func() { attempt(entries[i%3], fmt.Sprint(i), pause, act) })
+	for i := range raceAttempts {
+		pause := time.Duration(r.random.IntN(3)) * time.Second
+		act := r.random.IntN(4)
+		attempts.Go(func() { r.attempt(ctx, r.entries[i%raceEntries], fmt.Sprint(i), pause, act) })
 	}
 	attempts.Wait()
-	require.LessOrEqual(t, len(sent), 1, "sent by %v", sent)
-
-	table.heal()
+	require.LessOrEqual(r.t, len(r.sent), 1, "sent by %v", r.sent)
+	r.table.heal()
 	time.Sleep(2 * abandonFor)
-	result := entries[0].Acquire(ctx, testKey, testBody, "last")
-	if len(sent) == 0 {
-		require.Equal(t, Owned, result.Status, "a key that nobody sent is free again")
+	r.requireSettled(r.acquire(ctx, r.entries[0], "last"))
+	r.history.requireLinearizable(r.t)
+}
+
+func (r *race) acquire(ctx context.Context, s *Service, id string) Result {
+	start := time.Now()
+	result := s.Acquire(ctx, testKey, testBody, id)
+	r.history.add(operation{acquire, id}, start, observed{result.Status, result.OwnerRequestID}, false)
+	return result
+}
+
+// attempt is one caller: an owner gives back (act 0), freezes after it sent (1)
+// or completes.
+func (r *race) attempt(ctx context.Context, s *Service, id string, pause time.Duration, act int) {
+	time.Sleep(pause)
+	result := r.acquire(ctx, s, id)
+	if result.Status == Completed {
+		require.Equal(r.t, result.OwnerRequestID, string(result.Outcome.Body))
+	}
+	if result.Status != Owned {
+		return
+	}
+	if act == 0 {
+		start := time.Now()
+		err := s.Release(ctx, testKey, id)
+		r.history.add(operation{release, id}, start, observed{}, err != nil)
+		return
+	}
+	r.mu.Lock()
+	r.sent = append(r.sent, id)
+	r.mu.Unlock()
+	if act > 1 {
+		time.Sleep(pause)
+		start := time.Now()
+		err := s.Complete(ctx, testKey, id, Outcome{Status: 200, Body: []byte(id)})
+		r.history.add(operation{complete, id}, start, observed{}, err != nil)
+	}
+}
+
+// requireSettled checks the key after the store was mended: free if nobody
+// sent, and the sender's otherwise.
+func (r *race) requireSettled(last Result) {
+	if len(r.sent) == 0 {
+		require.Equal(r.t, Owned, last.Status, "a key that nobody sent is free again")
 		return
 	}
-	require.Contains(t, []Status{Pending, Completed}, result.Status)
-	require.Equal(t, sent[0], result.OwnerRequestID)
+	require.Contains(r.t, []Status{Pending, Completed}, last.Status)
+	require.Equal(r.t, r.sent[0], last.OwnerRequestID)
 }
 
 func TestSameInstantHasOneOwner(t *testing.T) {
