--- a/internal/measure/pool.go
+++ b/internal/measure/pool.go
@@ -31,6 +31,13 @@
 	firstTokenTarget = 1300 * time.Millisecond
 )
 
+// The servers of a pool that have a fault in a faulty run.
+const (
+	silentServer = iota
+	lyingServer
+	slowServer
+)
+
 // arrival is one request of a client account.
 type arrival struct {
 	at      time.Time
@@ -69,6 +76,11 @@
 	declared int
 	// slowdown stretches the engines' steps; 1 is the normal speed.
 	slowdown float64
+	// pick chooses a server; nil for the project's way.
+	pick pickFunc
+	// faulty gives three servers a fault each: one reports no load, one does
+	// not report and one runs at a third of its speed.
+	faulty bool
 	// adaptive adjusts the windows by what is observed.
 	adaptive bool
 }
@@ -129,8 +141,12 @@
 	for i := range poolServers {
 		id := fmt.Sprintf("server-%02d", i)
 		r.order = append(r.order, id)
+		slowdown := r.slowdown
+		if r.faulty && i == slowServer {
+			slowdown *= 3
+		}
 		r.engines[id] = &engine{
-			sim: r.sim, capacity: poolCapacity, slowdown: r.slowdown, honoursPriority: r.fair,
+			sim: r.sim, capacity: poolCapacity, slowdown: slowdown, honoursPriority: r.fair,
 		}
 	}
 }
@@ -198,14 +214,8 @@
 
 func (r *poolRun) send(entry *poolEntry, s started) {
 	a := s.arrival
-	decision, err := scheduling.Pick(entry.store.Snapshot(), scheduling.Request{
-		Version: dearVersion, Tokens: a.tokens(), Now: r.sim.now, Slice: entry.slice,
-	}, r.rng)
-	if err != nil {
-		// Every server of the fake pool is always up.
-		panic(err)
-	}
-	decision.Server.Begin(a.tokens())
+	server := r.choose(entry, a)
+	server.Begin(a.tokens())
 	r.seq++
 	sentAt := r.sim.now
 	var inTime bool
@@ -219,12 +229,12 @@
 		}
 	}
 	j.done = func() {
-		decision.Server.End(a.tokens())
+		server.End(a.tokens())
 		entry.queue.finish(r.sim.now, s)
 		r.countDone(a, inTime)
 		r.start(entry)
 	}
-	r.sim.after(hop, func() { r.engines[decision.Server.ID].submit(j) })
+	r.sim.after(hop, func() { r.engines[server.ID].submit(j) })
 }
 
 func (r *poolRun) countDone(a *arrival, inTime bool) {
@@ -237,10 +247,34 @@
 	}
 }
 
+// pickFunc chooses one of a list of servers.
+type pickFunc func(servers []*datastore.Server, rng *rand.Rand) *datastore.Server
+
+func (r *poolRun) choose(entry *poolEntry, a *arrival) *datastore.Server {
+	snap := entry.store.Snapshot()
+	if r.pick != nil {
+		return r.pick(snap.ForVersion(dearVersion), r.rng)
+	}
+	decision, err := scheduling.Pick(snap, scheduling.Request{
+		Version: dearVersion, Tokens: a.tokens(), Now: r.sim.now, Slice: entry.slice,
+	}, r.rng)
+	if err != nil {
+		// Every server of the fake pool is always up.
+		panic(err)
+	}
+	return decision.Server
+}
+
 // report sends every engine's load to the entries, late.
 func (r *poolRun) report() {
-	for _, id := range r.order {
+	for i, id := range r.order {
 		queued, running := r.engines[id].load()
+		if r.faulty && i == silentServer {
+			continue
+		}
+		if r.faulty && i == lyingServer {
+			queued, running = 0, 0
+		}
 		r.sim.after(reportLag, func() {
 			for _, entry := range r.instances {
 				entry.store.SetStatus(id, datastore.Status{
