Vouch for settings in a store outage by witnesses

Cause: in a store outage an instance could vouch only if it heard every listed instance, which at 1,200 fails as soon as one is dead but listed, and needs 1,200 ages a message. Now 24 witnesses are heard, and a commit is announced to one of the first 12 before it is sent. A lease on the right to commit was ruled out: a paused holder resumes and commits.

--- a/internal/configsync/apply.go
+++ b/internal/configsync/apply.go
@@ -248,25 +248,19 @@
 
 // commitOn checks the change against a state that equals the head, and commits.
 func (a *attempt) commitOn(ctx context.Context, current *state, headRevision uint64) (ApplyResult, error) {
-	if a.allowed != nil {
-		if err := a.allowed(current.snapshot); err != nil {
-			return ApplyResult{}, err
+	entry := a.entry(current)
+	next, err := a.check(current, entry)
+	if err != nil {
+		// Since an attempt of unknown outcome was sent the settings, and so the head,
+		// have changed without it; it can't take effect any more.
+		if a.unsettled {
+			a.notApplied(ctx)
 		}
-	}
-	if err := findConflicts(current, a.change); err != nil {
-		// Since an attempt of unknown outcome was sent the documents, and so the
-		// head, have changed without it; it can't take effect any more.
-		a.syncer.settle(a.change.ID)
 		return ApplyResult{}, err
 	}
-	entry := a.entry(current)
 	if len(entry.Documents) == 0 {
 		return ApplyResult{ChangeID: a.change.ID, Revision: current.revision, Unchanged: true}, nil
 	}
-	next, list := newState(&a.syncer.parsed, entry.Revision, merge(current.docs, entry.Documents))
-	if list.Err() != nil {
-		return ApplyResult{}, list
-	}
 	txn, err := a.txn(ctx, entry, headRevision)
 	if err != nil {
 		return ApplyResult{}, a.unreachable()
@@ -274,6 +268,20 @@
 	return a.commit(ctx, txn, next, entry)
 }
 
+// check returns the state that the entry leads to, or why the change is refused.
+func (a *attempt) check(current *state, entry logEntry) (*state, error) {
+	if a.allowed != nil {
+		if err := a.allowed(current.snapshot); err != nil {
+			return nil, err
+		}
+	}
+	if err := findConflicts(current, a.change); err != nil {
+		return nil, err
+	}
+	next, list := newState(&a.syncer.parsed, entry.Revision, merge(current.docs, entry.Documents))
+	return next, list.Err()
+}
+
 // entry is the log entry of the change on top of a state; documents that read
 // so already are left out.
 func (a *attempt) entry(current *state) logEntry {
@@ -362,6 +370,9 @@
 // commit sends the transaction. From before it is sent until its outcome is
 // known, this instance must not state that it knows of every commit of its own.
 func (a *attempt) commit(ctx context.Context, txn platform.Txn, next *state, entry logEntry) (ApplyResult, error) {
+	if err := a.syncer.announce(ctx, entry.ChangeID); err != nil {
+		return ApplyResult{}, a.unreachable()
+	}
 	a.syncer.addDoubt(entry.ChangeID)
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), storeTimeout)
 	defer cancel()
@@ -369,7 +380,7 @@
 	switch result.Outcome {
 	case platform.OutcomeCommitted:
 		a.syncer.install(next, []logEntry{entry})
-		a.syncer.settleAll()
+		a.syncer.settle(entry.ChangeID)
 		return ApplyResult{ChangeID: entry.ChangeID, Revision: entry.Revision}, nil
 	case platform.OutcomeConflict:
 		return a.lost(ctx, result.Conflicts)
@@ -377,7 +388,7 @@
 		if a.unsettled {
 			return ApplyResult{}, errRetry
 		}
-		a.syncer.settle(entry.ChangeID)
+		a.notApplied(ctx)
 		return ApplyResult{}, ErrUnavailable
 	default:
 		a.unsettled = true
@@ -399,10 +410,17 @@
 		return a.replay(ctx, done)
 	}
 	a.unsettled = false
-	a.syncer.settle(a.change.ID)
+	a.notApplied(ctx)
 	return ApplyResult{}, errRetry
 }
 
+// notApplied records, here and at the witnesses, that no copy of the change that
+// this attempt sent took effect or ever will.
+func (a *attempt) notApplied(ctx context.Context) {
+	a.syncer.settle(a.change.ID)
+	a.syncer.dropIntent(ctx, a.change.ID)
+}
+
 // addDoubt records that a commit is sent whose outcome is not yet known.
 func (s *Syncer) addDoubt(changeID string) {
 	s.mu.Lock()
@@ -417,14 +435,6 @@
 	delete(s.inDoubt, changeID)
 }
 
-// settleAll follows a commit: it moved the head, on which every earlier commit
-// in doubt was conditional.
-func (s *Syncer) settleAll() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	clear(s.inDoubt)
-}
-
 // forgetDoubts drops the commits that were sent so long before a read of the
 // store that they have taken effect by then or never will. The caller holds mu.
 func (s *Syncer) forgetDoubts(read time.Time) {
--- a/internal/configsync/exchange.go
+++ b/internal/configsync/exchange.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"golang.org/x/sync/errgroup"
 
 	"github.com/basilrail/basilrail/internal/events"
 	"github.com/basilrail/basilrail/internal/peers"
@@ -16,8 +17,10 @@
 const (
 	// exchangeInterval is the time between two rounds.
 	exchangeInterval = time.Second
-	// exchangePeers is the number of connected peers asked in a round.
-	exchangePeers = 4
+	// exchangePeers is the number of connected peers asked in a round, and
+	// outageExchangePeers while the store can't be reached.
+	exchangePeers       = 4
+	outageExchangePeers = 8
 	// peerTimeout bounds one question to a peer.
 	peerTimeout = time.Second
 	// maxReplyBytes bounds the entries or documents of one reply, beyond its first.
@@ -80,15 +83,13 @@
 	return reply
 }
 
-// heardList is what this instance heard; the caller holds mu.
+// heardList is which witnesses this instance heard; the caller holds mu.
 func (s *Syncer) heardList() []heardInstance {
-	if len(s.heard) > maxHeardInstances {
-		return nil
-	}
 	var list []heardInstance
-	for id, at := range s.heard {
-		if age := time.Since(at); age <= FreshFor {
-			list = append(list, heardInstance{ID: id, AgeMillis: ageMillis(age)})
+	for _, chosen := range s.heardChoice() {
+		at, ok := s.heard[chosen.id]
+		if age := time.Since(at); ok && age <= FreshFor {
+			list = append(list, heardInstance{IDHash: chosen.hash, AgeMillis: ageMillis(age)})
 		}
 	}
 	return list
@@ -110,26 +111,87 @@
 	return docs, false
 }
 
-// exchangeLoop asks a few peers each round, and at once those that sent a hint.
+// exchangeLoop asks a few peers each round, spread over its time, and at once
+// those that sent a hint. Rounds of different instances are out of step, so
+// that what one learns reaches the next sooner than in a round's time.
 func (s *Syncer) exchangeLoop(ctx context.Context) {
-	ticker := time.NewTicker(exchangeInterval)
+	asking := new(errgroup.Group)
+	asking.SetLimit(maxAsked)
+	defer func() { _ = asking.Wait() }()
+	if !sleep(ctx, s.exchangePhase()) {
+		return
+	}
+	ticker := time.NewTicker(exchangeInterval / outageExchangePeers)
 	defer ticker.Stop()
-	for {
+	var round []string
+	for turn := 0; ; turn++ {
+		if turn%outageExchangePeers == 0 {
+			round = s.beginRound()
+		}
 		select {
 		case <-ctx.Done():
 			return
 		case hint := <-s.hints:
+			turn--
 			if hint.revision > s.state.Load().revision {
-				s.ask(ctx, hint.peer)
+				s.askBeside(ctx, asking, hint.peer)
 			}
 		case <-ticker.C:
-			s.eachPeer(s.choosePeers(exchangePeers), func(peer string) { s.ask(ctx, peer) })
-			s.concludeFromAll()
-			s.noteVouching()
+			if len(round) > 0 {
+				s.askBeside(ctx, asking, round[0])
+				round = round[1:]
+			}
+			s.concludeFromWitnesses()
 		}
 	}
 }
 
+// maxAsked bounds the peers asked at once; slow ones must not hold up the rest.
+const maxAsked = 16
+
+// askBeside asks a peer in the background; if too many are being asked already,
+// the peer is left to a later round.
+func (s *Syncer) askBeside(ctx context.Context, asking *errgroup.Group, peer string) {
+	asking.TryGo(func() error {
+		s.ask(ctx, peer)
+		return nil
+	})
+}
+
+// exchangePhase is when the first round begins.
+func (s *Syncer) exchangePhase() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return time.Duration(s.rng.Int64N(int64(exchangeInterval)))
+}
+
+// beginRound takes stock and chooses whom to ask.
+func (s *Syncer) beginRound() []string {
+	ids := s.listedIDs()
+	s.chooseHeard(ids)
+	s.forgetUnlisted(ids)
+	s.noteVouching()
+	return s.choosePeers(s.roundSize())
+}
+
+func (s *Syncer) roundSize() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.needsWitnesses() {
+		return outageExchangePeers
+	}
+	return exchangePeers
+}
+
+// witnessAge is the age of the settings at which an instance begins to gather
+// the witnesses' statements. In a large fleet its own next poll, which would tell
+// it of an outage, may come too late.
+const witnessAge = FreshFor / 3
+
+// needsWitnesses reports whether reads of the store no longer keep the settings
+// fresh; the caller holds mu.
+func (s *Syncer) needsWitnesses() bool { return s.storeDown || s.age() > witnessAge }
+
 // choosePeers picks connected peers at random, without repetition.
 func (s *Syncer) choosePeers(most int) []string {
 	var connected []string
@@ -155,7 +217,7 @@
 
 // ask brings this instance to what a peer knows.
 func (s *Syncer) ask(ctx context.Context, peer string) {
-	request := s.request()
+	request := s.fetchRequest()
 	sent := time.Now()
 	reply, err := s.fetch(ctx, peer, request)
 	if err != nil {
@@ -167,24 +229,29 @@
 	s.takeAges(peer, sent, reply)
 }
 
-func (s *Syncer) request() fetchRequest {
+func (s *Syncer) fetchRequest() fetchRequest {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return fetchRequest{
 		Since: s.state.Load().revision,
 		Whole: s.storeDown || !s.loaded.Load(),
-		Heard: s.storeDown,
+		Heard: s.needsWitnesses(),
 	}
 }
 
 func (s *Syncer) fetch(ctx context.Context, peer string, request fetchRequest) (fetchReply, error) {
-	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
-	defer cancel()
 	var reply fetchReply
-	err := s.opts.Bus.Request(ctx, peer, peers.KindSettingsFetch, request, &reply)
+	err := s.request(ctx, peer, peers.KindSettingsFetch, request, &reply)
 	return reply, errors.Wrapf(err, "ask %s for settings", peer)
 }
 
+// request asks one peer and waits for peerTimeout at most.
+func (s *Syncer) request(ctx context.Context, peer string, kind peers.Kind, body, reply any) error {
+	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
+	defer cancel()
+	return s.opts.Bus.Request(ctx, peer, kind, body, reply)
+}
+
 // takeFrom installs what a peer has. Where its history does not reach back and
 // the store is within reach, the store is polled at once instead.
 func (s *Syncer) takeFrom(ctx context.Context, peer string, request fetchRequest, reply fetchReply) {
@@ -243,9 +310,22 @@
 	if !reply.InDoubt {
 		s.noteHeard(peer, sent)
 	}
-	for _, other := range reply.Heard {
-		if at, ok := stated(sent, other.AgeMillis); ok && other.ID != s.opts.Bus.Self() {
-			s.noteHeard(other.ID, at)
+	s.takeHeard(sent, reply.Heard)
+}
+
+// takeHeard adopts which witnesses a peer heard.
+func (s *Syncer) takeHeard(sent time.Time, heard []heardInstance) {
+	if len(heard) == 0 {
+		return
+	}
+	byHash := make(map[uint64]string)
+	for _, chosen := range s.heardChoice() {
+		byHash[chosen.hash] = chosen.id
+	}
+	for _, other := range heard {
+		id, known := byHash[other.IDHash]
+		if at, ok := stated(sent, other.AgeMillis); ok && known {
+			s.noteHeard(id, at)
 		}
 	}
 }
@@ -268,8 +348,6 @@
 const maxToldPeers = 16
 
 func (s *Syncer) tell(ctx context.Context, peer string, hint hintMessage) {
-	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
-	defer cancel()
 	// A lost hint is repaired by the next exchange.
-	_ = s.opts.Bus.Request(ctx, peer, peers.KindSettingsHint, hint, nil)
+	_ = s.request(ctx, peer, peers.KindSettingsHint, hint, nil)
 }
--- a/internal/configsync/messages.go
+++ b/internal/configsync/messages.go
@@ -22,7 +22,7 @@
 	Whole bool `cbor:"2,keyasint,omitempty"`
 	// After is the last path of the previous page of documents, for Whole.
 	After string `cbor:"3,keyasint,omitempty"`
-	// Heard asks which instances the peer heard from.
+	// Heard asks which witnesses the peer heard.
 	Heard bool `cbor:"4,keyasint,omitempty"`
 }
 
@@ -48,10 +48,11 @@
 	Heard     []heardInstance     `cbor:"9,keyasint,omitempty"`
 }
 
-// heardInstance is one instance that the peer heard from.
+// heardInstance is one witness that the peer heard, as a CBOR array.
 type heardInstance struct {
-	ID        string `cbor:"1,keyasint"`
-	AgeMillis int64  `cbor:"2,keyasint"`
+	_         struct{} `cbor:",toarray"`
+	IDHash    uint64
+	AgeMillis int64
 }
 
 // decodeMessage reads a message's body.
--- a/internal/configsync/state.go
+++ b/internal/configsync/state.go
@@ -116,6 +116,11 @@
 	return entries, true
 }
 
+// holds reports whether an entry of the change is in the history.
+func (h *history) holds(changeID string) bool {
+	return slices.ContainsFunc(h.entries, func(entry logEntry) bool { return entry.ChangeID == changeID })
+}
+
 // following keeps the entries that follow the revision without a gap; ok is
 // false if there are later ones that don't.
 func following(revision uint64, entries []logEntry) (next []logEntry, ok bool) {
--- a/internal/configsync/syncer.go
+++ b/internal/configsync/syncer.go
@@ -41,6 +41,8 @@
 	loaded atomic.Bool
 	// unreadable is a committed revision that this program can't read; zero for none.
 	unreadable atomic.Uint64
+	// toHear is the witnesses by the list at the last exchange.
+	toHear atomic.Pointer[[]witness]
 	// transferring is whether all documents are on their way from a peer.
 	transferring atomic.Bool
 
@@ -49,7 +51,8 @@
 	history history
 	// storeDown is whether the last read of the store failed.
 	storeDown bool
-	// inDoubt holds when each commit was sent whose outcome is not known, by change id.
+	// inDoubt holds when each commit was announced or sent whose outcome is not
+	// known, by change id.
 	inDoubt map[string]time.Time
 	heard   map[string]time.Time
 	vouched bool
@@ -88,6 +91,7 @@
 	s.state.Store(emptyState())
 	opts.Bus.Handle(peers.KindSettingsHint, s.handleHint)
 	opts.Bus.Handle(peers.KindSettingsFetch, s.handleFetch)
+	opts.Bus.Handle(peers.KindSettingsIntent, s.handleIntent)
 	return s
 }
 
@@ -125,6 +129,9 @@
 	}
 	s.state.Store(next)
 	s.history.add(next.revision, entries)
+	for _, entry := range entries {
+		delete(s.inDoubt, entry.ChangeID)
+	}
 	if s.opts.OnChange != nil {
 		s.opts.OnChange(next.snapshot)
 	}
--- a/internal/configsync/vouch.go
+++ b/internal/configsync/vouch.go
@@ -1,6 +1,8 @@
 package configsync
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/basilrail/basilrail/internal/events"
@@ -16,13 +18,9 @@
 // writeSettleDelay is how long after it was sent a write may still take effect.
 const writeSettleDelay = 10 * time.Second
 
-// maxHeardInstances is the largest fleet in which instances tell one another of
-// every instance they heard.
-const maxHeardInstances = 32
-
 // Vouch tells whether this instance knows its settings to be current: within
 // FreshFor it read the store, or heard, directly or through others, from an
-// instance that did, or heard from every listed instance. An instance that
+// instance that did, or heard every witness. An instance that
 // can't vouch must take no new work; retryAfter is when to come back.
 func (s *Syncer) Vouch() (ok bool, reason string, retryAfter time.Duration) {
 	reason = s.doubt()
@@ -92,36 +90,49 @@
 	return count
 }
 
-// concludeFromAll derives freshness from having heard every listed instance:
-// every commit goes through an instance, so the state was current at the oldest
-// of those statements. A list without peers proves nothing, since it may just
-// not be known yet.
-func (s *Syncer) concludeFromAll() {
-	listed := s.opts.Bus.Peers()
-	if len(listed) == 0 {
+// concludeFromWitnesses derives freshness from having heard every witness: each
+// knows of its own commits and of those announced to it, so the state was
+// current at the oldest of their statements. A list without peers proves
+// nothing, since it may just not be known yet.
+func (s *Syncer) concludeFromWitnesses() {
+	chosen := s.heardChoice()
+	if len(chosen) <= 1 {
 		return
 	}
+	if at, ok := s.oldestHeard(chosen); ok {
+		s.noteFresh(at)
+	}
+}
+
+// forgetUnlisted drops what was heard of instances that are no longer listed.
+func (s *Syncer) forgetUnlisted(ids []string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	maps.DeleteFunc(s.heard, func(id string, _ time.Time) bool { return !slices.Contains(ids, id) })
+}
+
+// oldestHeard is when the witness was heard that was heard longest ago; ok is
+// false if one was never heard, or if a commit is in doubt here.
+func (s *Syncer) oldestHeard(chosen []witness) (oldest time.Time, ok bool) {
 	s.mu.Lock()
-	oldest := time.Now()
-	complete := len(s.inDoubt) == 0 && s.loaded.Load()
-	ids := make(map[string]bool, len(listed))
-	for _, peer := range listed {
-		ids[peer.ID] = true
-		at, ok := s.heard[peer.ID]
-		complete = complete && ok
+	defer s.mu.Unlock()
+	if len(s.inDoubt) > 0 || !s.loaded.Load() {
+		return time.Time{}, false
+	}
+	oldest = time.Now()
+	for _, w := range chosen {
+		if w.id == s.opts.Bus.Self() {
+			continue
+		}
+		at, heard := s.heard[w.id]
+		if !heard {
+			return time.Time{}, false
+		}
 		if at.Before(oldest) {
 			oldest = at
 		}
 	}
-	for id := range s.heard {
-		if !ids[id] {
-			delete(s.heard, id)
-		}
-	}
-	s.mu.Unlock()
-	if complete {
-		s.noteFresh(oldest)
-	}
+	return oldest, true
 }
 
 // noteVouching logs when vouching ends or returns.
--- a/internal/peers/bus.go
+++ b/internal/peers/bus.go
@@ -32,6 +32,8 @@
 	KindServerState
 	// KindExplain asks for one request's record.
 	KindExplain
+	// KindSettingsIntent announces a settings commit before it is sent.
+	KindSettingsIntent
 )
 
 // Message is one received message.
