Test kill -9, SIGSTOP and SIGTERM on real daemons

Three instances as separate processes before stand-ins, on free ports: the death of one neither repeats a booking, nor loses its bill, nor passes a cut stream off as whole; one frozen over a withdrawal gives the version no work when it goes on; a terminated one finishes its stream and exits with 0.

--- /dev/null
+++ b/internal/daemon/process_test.go
@@ -0,0 +1,261 @@
+package daemon
+
+import (
+	"bytes"
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/alecthomas/kong"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/basilrail/basilrail/internal/ctl"
+	"github.com/basilrail/basilrail/internal/standin/caller"
+	"github.com/basilrail/basilrail/internal/standin/command"
+	"github.com/basilrail/basilrail/internal/standin/engine"
+)
+
+// roleVariable makes the test binary run as one of the programs.
+const roleVariable = "BASILRAIL_TEST_ROLE"
+
+const (
+	operatorKey = "test-operator"
+	callerKey   = "test-caller"
+	withdrawn   = "tagger@v1"
+	// patience bounds the wait for a condition.
+	patience = 20 * time.Second
+)
+
+func TestMain(m *testing.M) {
+	switch os.Getenv(roleVariable) {
+	case "daemon":
+		os.Exit(Main(os.Args[1:], os.Stderr))
+	case "standin":
+		var cli command.CLI
+		app := kong.Parse(&cli, command.Options()...)
+		app.FatalIfErrorf(app.Run())
+	default:
+		os.Exit(m.Run())
+	}
+}
+
+// processes is a small fleet of separate processes.
+type processes struct {
+	t         *testing.T
+	dir       string
+	callers   []string
+	operators []string
+	entries   []*exec.Cmd
+	client    *http.Client
+}
+
+// freeAddress finds a port that is free now.
+func freeAddress(t *testing.T) string {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer listener.Close()
+	return listener.Addr().String()
+}
+
+// start runs a program until the test ends.
+func (p *processes) start(role string, args ...string) *exec.Cmd {
+	cmd := exec.Command(os.Args[0], args...)
+	cmd.Env = append(os.Environ(), roleVariable+"="+role)
+	output := &bytes.Buffer{}
+	cmd.Stdout, cmd.Stderr = output, output
+	require.NoError(p.t, cmd.Start())
+	p.t.Cleanup(func() {
+		_ = cmd.Process.Kill()
+		_ = cmd.Wait()
+		if p.t.Failed() {
+			p.t.Logf("%s %v:\n%s", role, args, output)
+		}
+	})
+	return cmd
+}
+
+func sum(key string) string {
+	digest := sha256.Sum256([]byte(key))
+	return hex.EncodeToString(digest[:])
+}
+
+// write puts a settings document into the directory.
+func (p *processes) write(path, format string, args ...any) {
+	file := filepath.Join(p.dir, path)
+	require.NoError(p.t, os.MkdirAll(filepath.Dir(file), 0o755))
+	require.NoError(p.t, os.WriteFile(file, fmt.Appendf(nil, format, args...), 0o600))
+}
+
+func (p *processes) writeSettings() {
+	p.write("fleet.yaml", "region: r\nfailure_domains: [a]\ntoken_keys: [{id: k}]\noperators:\n  - {name: o, key_sha256: %s, role: editor, subtree: /}\n", sum(operatorKey))
+	p.write("models/tagger.yaml", "versions:\n  v1: {input_cost: 10, output_cost: 20}\n  v2: {input_cost: 10, output_cost: 20}\n")
+	p.write("services/booking.yaml", "call_cost: 5\noperations: [{method: POST, path_prefix: /bookings, idempotent: false}]\n")
+	p.write("servers/engine-1.yaml", "address: %s\nfailure_domain: a\nmodels: [tagger]\ncapacity: 8\naccelerators: 1\n", freeAddress(p.t))
+	p.write("servers/booking-1.yaml", "address: %s\nfailure_domain: a\nservice: booking\ncapacity: 8\n", freeAddress(p.t))
+	p.write("teams/shops.yaml", "quality_target: 0.9\ndeadline: 30s\nmodels:\n  tagger: {stable: v1, allowed: [v1, v2]}\ncascades:\n  default: {models: [tagger]}\nservices: [booking]\n")
+	p.write("teams/shops/accounts/one.yaml", "key_sha256: [%s]\n", sum(callerKey))
+}
+
+// newProcesses starts three entry instances before stand-ins and applies settings.
+func newProcesses(t *testing.T) *processes {
+	p := &processes{t: t, dir: t.TempDir(), client: &http.Client{Timeout: patience}}
+	p.writeSettings()
+	platform := freeAddress(t)
+	p.start("standin", "platform", "--listen="+platform)
+	p.start("standin", "servers", p.dir, "--token-time=50ms")
+	secret := strings.Repeat("s", 32)
+	for n := range 3 {
+		callers, operators := freeAddress(t), freeAddress(t)
+		p.callers = append(p.callers, "http://"+callers)
+		p.operators = append(p.operators, "http://"+operators)
+		p.entries = append(p.entries, p.start("daemon", fmt.Sprintf("--instance=entry-%d", n), "--failure-domain=a",
+			"--platform-url=http://"+platform, "--listen-callers="+callers, "--listen-operators="+operators,
+			"--listen-peers="+freeAddress(t), "--peer-secret="+secret, "--token-secret="+secret,
+			"--bootstrap-key-sha256="+sum(operatorKey), "--drain-wait=200ms"))
+	}
+	for n := range p.entries {
+		p.eventually("entry is live", func() bool { return p.get(n, "/health/live") != nil })
+	}
+	p.ctl(0, "apply", p.dir)
+	p.eventually("settings are in force", func() bool { return p.revision(0) > 0 && p.revision(1) > 0 && p.revision(2) > 0 })
+	p.eventually("a version is loaded", func() bool { return p.chat(0, false).Status == http.StatusOK })
+	p.eventually("a version is loaded", func() bool { return p.chat(1, false).Status == http.StatusOK })
+	p.eventually("a version is loaded", func() bool { return p.chat(2, false).Status == http.StatusOK })
+	return p
+}
+
+// eventually waits for a condition.
+func (p *processes) eventually(what string, holds func() bool) {
+	p.t.Helper()
+	require.Eventually(p.t, holds, patience, 20*time.Millisecond, what)
+}
+
+// get reads a path of an operators' address; nil where there is no answer of 200.
+func (p *processes) get(n int, path string) []byte {
+	resp, err := p.client.Get(p.operators[n] + path)
+	if err != nil {
+		return nil
+	}
+	defer resp.Body.Close()
+	var body bytes.Buffer
+	if _, err := body.ReadFrom(resp.Body); err != nil || resp.StatusCode != http.StatusOK {
+		return nil
+	}
+	return body.Bytes()
+}
+
+// revision is that of the settings which an instance has in force.
+func (p *processes) revision(n int) uint64 {
+	var health struct{ Revision uint64 }
+	_ = json.Unmarshal(p.get(n, "/health/live"), &health)
+	return health.Revision
+}
+
+// ctl runs the operators' tool, which must succeed.
+func (p *processes) ctl(n int, args ...string) {
+	p.t.Helper()
+	var out bytes.Buffer
+	args = append(args, "--entry="+p.operators[n], "--key="+operatorKey)
+	code := ctl.Main(context.Background(), args, &out, &out)
+	require.Zero(p.t, code, out.String())
+}
+
+// bookingBills counts the bills of bookings, which are named by their key.
+func (p *processes) bookingBills(n int) int {
+	var out bytes.Buffer
+	ctl.Main(context.Background(), []string{"bills", "--entry=" + p.operators[n], "--key=" + operatorKey}, &out, &out)
+	return strings.Count(out.String(), " key-")
+}
+
+// send sends a call to an instance; a broken answer has status 0.
+func (p *processes) send(n int, path, key string, body any) caller.Answer {
+	encoded, err := json.Marshal(body)
+	require.NoError(p.t, err)
+	answer, err := caller.Do(context.Background(), p.client, caller.Call{
+		Method: http.MethodPost, URL: p.callers[n] + path, Key: callerKey, IdempotencyKey: key, Body: encoded,
+	})
+	if err != nil {
+		return caller.Answer{Text: err.Error()}
+	}
+	return answer
+}
+
+func (p *processes) chat(n int, stream bool) caller.Answer {
+	return p.send(n, "/v1/chat/completions", "", engine.ChatRequest{
+		Model: withdrawn, Stream: stream, Messages: []engine.Message{{Role: "user", Content: "a wardrobe"}},
+	})
+}
+
+func (p *processes) book(n int) caller.Answer {
+	return p.send(n, "/v1/services/booking/bookings", "pickup-1", "van 1")
+}
+
+// streaming begins a stream and returns once the instance has it in flight.
+func (p *processes) streaming(n int) <-chan caller.Answer {
+	answers := make(chan caller.Answer, 1)
+	go func() { answers <- p.chat(n, true) }()
+	p.eventually("a request is in flight", func() bool {
+		var vars struct {
+			Tokens float64 `json:"tokens_in_flight"`
+		}
+		return json.Unmarshal(p.get(n, "/metrics"), &vars) == nil && vars.Tokens > 0
+	})
+	return answers
+}
+
+// TestKilledInstance checks that the death of a process neither repeats a
+// booking, nor loses a bill, nor ends a stream as if it were whole.
+func TestKilledInstance(t *testing.T) {
+	p := newProcesses(t)
+	first := p.book(0)
+	require.Equal(t, http.StatusCreated, first.Status, first.Text)
+	stream := p.streaming(0)
+	require.NoError(t, p.entries[0].Process.Kill())
+	assert.NotEqual(t, http.StatusOK, (<-stream).Status, "a cut stream is no answer")
+	again := p.book(1)
+	assert.Equal(t, first.Text, again.Text)
+	assert.True(t, again.Replayed)
+	p.eventually("the booking is billed", func() bool { return p.bookingBills(1) > 0 })
+	assert.Equal(t, 1, p.bookingBills(1))
+}
+
+// TestFrozenInstance checks that a process that was stopped while a version was
+// withdrawn gives the version no new work when it goes on.
+func TestFrozenInstance(t *testing.T) {
+	p := newProcesses(t)
+	before := p.revision(2)
+	require.NoError(t, p.entries[1].Process.Signal(syscall.SIGSTOP))
+	p.ctl(2, "withdraw", withdrawn)
+	p.eventually("the withdrawal is in force", func() bool { return p.revision(2) > before })
+	// Longer than an instance may serve without having read the settings.
+	time.Sleep(6 * time.Second)
+	require.NoError(t, p.entries[1].Process.Signal(syscall.SIGCONT))
+	for range 5 {
+		answer := p.chat(1, false)
+		assert.NotEqual(t, http.StatusOK, answer.Status, answer.Text)
+	}
+	p.eventually("the instance catches up", func() bool { return p.revision(1) == p.revision(2) })
+}
+
+// TestTerminatedInstance checks that a graceful shutdown ends a stream whole.
+func TestTerminatedInstance(t *testing.T) {
+	p := newProcesses(t)
+	stream := p.streaming(2)
+	require.NoError(t, p.entries[2].Process.Signal(syscall.SIGTERM))
+	answer := <-stream
+	assert.Equal(t, http.StatusOK, answer.Status, answer.Text)
+	assert.Equal(t, answer.Usage.CompletionTokens, len(strings.Fields(answer.Text)))
+	assert.NoError(t, p.entries[2].Wait(), "the process ends well")
+}
