--- a/internal/entry/build.go
+++ b/internal/entry/build.go
@@ -22,6 +22,7 @@
 	"github.com/basilrail/basilrail/internal/peers"
 	"github.com/basilrail/basilrail/internal/peers/mesh"
 	"github.com/basilrail/basilrail/internal/platform"
+	"github.com/basilrail/basilrail/internal/platform/commitrelay"
 	"github.com/basilrail/basilrail/internal/platform/groupcommit"
 	"github.com/basilrail/basilrail/internal/platform/httpplatform"
 	"github.com/basilrail/basilrail/internal/quarantine"
@@ -134,8 +135,11 @@
 		Log:      i.log,
 		OnChange: i.applySettings,
 	})
-	i.commits = groupcommit.New(i.platform, i.commitBudget)
-	i.claims = claim.New(i.commits, i.platform, i.log)
+	i.relay = commitrelay.New(bus, fleetCommitsPerSecond)
+	i.commits = groupcommit.New(i.platform, i.relay.Budget)
+	i.relay.Bind(i.commits)
+	i.members.OnChange(i.setInstances)
+	i.claims = claim.New(i.relay, i.platform, i.log)
 	i.ledger = billing.New(billing.Config{
 		Bus:           bus,
 		FailureDomain: i.cfg.FailureDomain.Value,
@@ -146,9 +150,13 @@
 	return nil
 }
 
-// commitBudget is this instance's share of the fleet's commits.
-func (i *Instance) commitBudget() float64 {
-	return fleetCommitsPerSecond / float64(i.members.View().EntryCount())
+// setInstances tells the relay who commits for whom.
+func (i *Instance) setInstances(v *membership.View) {
+	ids := make([]string, 0, len(v.Entries))
+	for _, m := range v.Entries {
+		ids = append(ids, m.ID)
+	}
+	i.relay.SetInstances(ids)
 }
 
 // applySettings puts a revision in force on the data path.
--- a/internal/entry/instance.go
+++ b/internal/entry/instance.go
@@ -25,6 +25,7 @@
 	"github.com/basilrail/basilrail/internal/metrics"
 	"github.com/basilrail/basilrail/internal/orders"
 	"github.com/basilrail/basilrail/internal/peers/mesh"
+	"github.com/basilrail/basilrail/internal/platform/commitrelay"
 	"github.com/basilrail/basilrail/internal/platform/groupcommit"
 	"github.com/basilrail/basilrail/internal/platform/httpplatform"
 	"github.com/basilrail/basilrail/internal/quarantine"
@@ -59,6 +60,7 @@
 	mesh     *mesh.Mesh
 	data     *datastore.Store
 	platform *httpplatform.Client
+	relay    *commitrelay.Relay
 	commits  *groupcommit.Committer
 	members  *membership.Watcher
 	syncer   *configsync.Syncer
