--- a/internal/entry/windows.go
+++ b/internal/entry/windows.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -54,23 +55,41 @@
 	w.set(demand.Requests())
 }
 
-// set gives each pool its window, also pools that nobody asked for yet.
+// set gives each pool its window, also pools that nobody asked for yet. In a
+// large fleet only neighbours are heard; they and this instance share the part
+// of the capacity that they are of the fleet.
 func (w *windows) set(demand map[string]float64) {
 	now := time.Now()
+	part := w.neighbourhood()
 	for pool, capacity := range flowcontrol.Capacities(serverPools(w.data.Snapshot()), demand) {
-		w.admit.SetWindow(pool, w.shares.Window(now, w.bus.Self(), pool, capacity))
+		w.admit.SetWindow(pool, w.shares.Window(now, w.bus.Self(), pool, capacity*part))
 	}
 }
 
-// serverPools lists the pools of each server that may get work.
+// neighbourhood is the part of the fleet that hears this instance's demand: all
+// of it while it is small.
+func (w *windows) neighbourhood() float64 {
+	listed := w.bus.Peers()
+	connected := 0
+	for _, peer := range listed {
+		if peer.Connected {
+			connected++
+		}
+	}
+	return float64(connected+1) / float64(len(listed)+1)
+}
+
+// serverPools lists the pools of each watched server that may get work. Where
+// only some servers of a kind are watched, each stands for those that are not.
 func serverPools(snap *datastore.Snapshot) []flowcontrol.ServerPools {
 	var list []flowcontrol.ServerPools
+	weights := watchedWeights(snap)
 	for _, server := range snap.Watched() {
 		status := server.Status()
 		if status.Down || status.Leaving {
 			continue
 		}
-		pools := flowcontrol.ServerPools{Capacity: float64(server.Settings.Capacity)}
+		pools := flowcontrol.ServerPools{Capacity: float64(server.Settings.Capacity) * weights[kindOf(server)]}
 		for _, ref := range status.Versions {
 			pools.Pools = append(pools.Pools, ref.String())
 		}
@@ -81,3 +100,24 @@
 	}
 	return list
 }
+
+// kindOf names the servers that do the same work.
+func kindOf(server *datastore.Server) string {
+	return server.Settings.Service + "/" + strings.Join(server.Settings.Models, ",")
+}
+
+// watchedWeights is, by kind, how many servers each watched one stands for.
+func watchedWeights(snap *datastore.Snapshot) map[string]float64 {
+	all := make(map[string]float64)
+	for _, server := range snap.Servers {
+		all[kindOf(server)]++
+	}
+	watched := make(map[string]float64)
+	for _, server := range snap.Watched() {
+		watched[kindOf(server)]++
+	}
+	for kind, count := range watched {
+		watched[kind] = all[kind] / count
+	}
+	return watched
+}
