--- a/internal/flowcontrol/demand.go
+++ b/internal/flowcontrol/demand.go
@@ -34,7 +34,8 @@
 // AccountDemand is the demand of one client account at one entry.
 type AccountDemand struct {
 	Account settings.AccountID `cbor:"1,keyasint"`
-	Weight  float64            `cbor:"2,keyasint"`
+	// Weight is zero for the usual weight of 1.
+	Weight float64 `cbor:"2,keyasint,omitempty"`
 	// Requests is the smoothed number of requests in flight and waiting, in
 	// coarse steps.
 	Requests float64 `cbor:"3,keyasint"`
@@ -81,7 +82,7 @@
 	for _, f := range q.flows {
 		f.smoothDemand(now, elapsed)
 		if f.demand > 0 {
-			list = append(list, AccountDemand{Account: f.account, Weight: f.weight, Requests: f.demand})
+			list = append(list, AccountDemand{Account: f.account, Weight: f.toldWeight(), Requests: f.demand})
 		}
 	}
 	slices.SortFunc(list, func(a, b AccountDemand) int {
@@ -90,6 +91,13 @@
 	return list[:min(len(list), maxDemandAccounts)]
 }
 
+func (f *flow) toldWeight() float64 {
+	if f.weight == 1 {
+		return 0
+	}
+	return f.weight
+}
+
 // smoothDemand follows a jump of the demand at once and else smooths it, and
 // tells it in coarse steps: each change of the shares moves places between
 // entries while the requests that hold them still run.
--- a/internal/flowcontrol/queue_test.go
+++ b/internal/flowcontrol/queue_test.go
@@ -229,3 +229,29 @@
 	}
 	assert.Equal(t, 3, q.InFlight())
 }
+
+func TestChanges(t *testing.T) {
+	of := func(requests float64) Demand {
+		return Demand{Pools: []PoolDemand{{Pool: "p", Accounts: []AccountDemand{{Account: "t/a", Requests: requests}}}}}
+	}
+	testCases := []struct {
+		desc   string
+		after  time.Duration
+		demand Demand
+		want   bool
+	}{
+		{desc: "nothing to tell", demand: Demand{}, want: false},
+		{desc: "a first demand", demand: of(4), want: true},
+		{desc: "the same soon after", after: time.Second, demand: of(4), want: false},
+		{desc: "a change", after: time.Second, demand: of(8), want: true},
+		{desc: "the same before it is forgotten", after: retellInterval, demand: of(8), want: true},
+		{desc: "its end", after: time.Second, demand: Demand{}, want: true},
+	}
+	var changes Changes
+	now := start
+	for _, test := range testCases {
+		now = now.Add(test.after)
+		assert.Equal(t, test.want, changes.ShouldTell(now, test.demand), test.desc)
+	}
+	assert.Less(t, 2*retellInterval, demandLife, "a lost message does no harm")
+}
