--- a/internal/admin/edit.go
+++ b/internal/admin/edit.go
@@ -49,19 +49,17 @@
 	if err := a.stale(); err != nil {
 		return adminapi.ApplyResult{}, err
 	}
-	current := a.Settings.Snapshot()
-	todo, err := plan(current)
+	todo, err := a.plan(r, plan)
 	if err != nil {
 		return adminapi.ApplyResult{}, err
 	}
 	if todo.path == "" {
-		return adminapi.ApplyResult{ChangeID: changeID, Revision: current.Revision, Unchanged: true}, nil
+		return adminapi.ApplyResult{ChangeID: changeID, Revision: a.Settings.Snapshot().Revision, Unchanged: true}, nil
 	}
-	docs, _ := a.Settings.Documents(todo.path)
-	if len(docs) == 0 {
+	doc, found := a.Settings.Document(todo.path)
+	if !found {
 		return adminapi.ApplyResult{}, notFound("document")
 	}
-	doc := docs[0]
 	for _, f := range todo.fields {
 		doc.Body, err = settings.SetField(doc.Body, f.value, f.keys...)
 		if err != nil {
@@ -71,6 +69,19 @@
 	return a.commit(r, changeID, []settings.Document{doc})
 }
 
+// plan plans an edit on the settings in force. A refusal must not come from
+// settings that lag, so before one the newest are read.
+func (a *api) plan(r *http.Request, plan func(*settings.Snapshot) (edit, error)) (edit, error) {
+	todo, err := plan(a.Settings.Snapshot())
+	if err == nil {
+		return todo, nil
+	}
+	if err := a.Settings.Refresh(r.Context()); err != nil {
+		return edit{}, errors.Wrap(configsync.ErrUnavailable, err.Error())
+	}
+	return plan(a.Settings.Snapshot())
+}
+
 // commit commits documents on behalf of the operator.
 func (a *api) commit(r *http.Request, changeID string, docs []settings.Document) (adminapi.ApplyResult, error) {
 	operator := operatorOf(r)
--- /dev/null
+++ b/internal/entry/adapters.go
@@ -0,0 +1,77 @@
+package entry
+
+import (
+	"context"
+
+	"github.com/pkg/errors"
+
+	"github.com/basilrail/basilrail/internal/adminapi"
+	"github.com/basilrail/basilrail/internal/billing"
+	"github.com/basilrail/basilrail/internal/configsync"
+	"github.com/basilrail/basilrail/internal/datastore"
+	"github.com/basilrail/basilrail/internal/platform"
+	"github.com/basilrail/basilrail/internal/quarantine"
+	"github.com/basilrail/basilrail/internal/rollout"
+	"github.com/basilrail/basilrail/internal/serverwatch"
+	"github.com/basilrail/basilrail/internal/settings"
+)
+
+// applier lets the roll-outs change settings.
+type applier struct{ syncer *configsync.Syncer }
+
+// Document returns the newest text known of a path.
+func (a applier) Document(path string) (settings.Document, bool) {
+	docs, _ := a.syncer.Documents(path)
+	if len(docs) == 0 || docs[0].Path != path {
+		return settings.Document{}, false
+	}
+	return docs[0], true
+}
+
+// Apply commits a change and tells only its outcome.
+func (a applier) Apply(ctx context.Context, change settings.Change) platform.Outcome {
+	_, err := a.syncer.Apply(ctx, change)
+	var unknown *configsync.UnknownError
+	var conflict *configsync.ConflictError
+	switch {
+	case err == nil:
+		return platform.OutcomeCommitted
+	case errors.As(err, &conflict):
+		return platform.OutcomeConflict
+	case errors.As(err, &unknown):
+		return platform.OutcomeUnknown
+	default:
+		return platform.OutcomeNotApplied
+	}
+}
+
+// suspectTracker tells a crash of a server from the cut of one connection.
+type suspectTracker struct {
+	*quarantine.Quarantine
+	servers *serverwatch.Watcher
+}
+
+// Broken counts a crash if the server's process ended.
+func (s suspectTracker) Broken(ctx context.Context, server *datastore.Server, instance string) {
+	if s.servers.ConfirmCrash(context.WithoutCancel(ctx), server.ID, instance) {
+		s.Crashed(server.ID, instance)
+	}
+}
+
+// rolloutEvidence shows operators what is known of a version.
+type rolloutEvidence struct{ controller *rollout.Controller }
+
+// Evidence returns the pooled counts.
+func (r rolloutEvidence) Evidence(ref settings.VersionRef) adminapi.Evidence {
+	counts, suspended := r.controller.Evidence(ref)
+	return adminapi.Evidence{Good: counts.Good, Bad: counts.Bad, Suspended: suspended}
+}
+
+// billLister shows operators the stored bills.
+type billLister struct{ reader *billing.Reader }
+
+// List returns a page of bills.
+func (b billLister) List(ctx context.Context, account settings.AccountID, after string, limit int) ([]billing.Record, string, error) {
+	page, err := b.reader.List(ctx, account, after, limit)
+	return page.Bills, page.Next, err
+}
--- /dev/null
+++ b/internal/entry/build.go
@@ -0,0 +1,249 @@
+package entry
+
+import (
+	"crypto/sha256"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/basilrail/basilrail/internal/backend"
+	"github.com/basilrail/basilrail/internal/billing"
+	"github.com/basilrail/basilrail/internal/cascade"
+	"github.com/basilrail/basilrail/internal/claim"
+	"github.com/basilrail/basilrail/internal/configsync"
+	"github.com/basilrail/basilrail/internal/datastore"
+	"github.com/basilrail/basilrail/internal/explain"
+	"github.com/basilrail/basilrail/internal/flowcontrol"
+	"github.com/basilrail/basilrail/internal/gateway"
+	"github.com/basilrail/basilrail/internal/membership"
+	"github.com/basilrail/basilrail/internal/metrics"
+	"github.com/basilrail/basilrail/internal/orders"
+	"github.com/basilrail/basilrail/internal/peers"
+	"github.com/basilrail/basilrail/internal/peers/mesh"
+	"github.com/basilrail/basilrail/internal/platform"
+	"github.com/basilrail/basilrail/internal/platform/groupcommit"
+	"github.com/basilrail/basilrail/internal/platform/httpplatform"
+	"github.com/basilrail/basilrail/internal/quarantine"
+	"github.com/basilrail/basilrail/internal/rating"
+	"github.com/basilrail/basilrail/internal/retry"
+	"github.com/basilrail/basilrail/internal/rollout"
+	"github.com/basilrail/basilrail/internal/serverwatch"
+	"github.com/basilrail/basilrail/internal/session"
+	"github.com/basilrail/basilrail/internal/settings"
+	"github.com/basilrail/basilrail/internal/statechart"
+)
+
+const (
+	// fleetCommitsPerSecond is the part of the table service's writes that
+	// claims and bills of the whole fleet may take.
+	fleetCommitsPerSecond = 300.0
+	// subsetSize is the number of servers of each model that an instance uses.
+	subsetSize = 24
+	// maxAnswerBytes bounds a whole answer of a backend server.
+	maxAnswerBytes = 16 << 20
+	// idleConnsPerServer is the number of idle connections kept to a backend server.
+	idleConnsPerServer = 64
+	// idleConnTimeout is how long an idle connection is kept.
+	idleConnTimeout = 30 * time.Second
+)
+
+// New assembles an instance; Run starts it.
+func New(o Options) (*Instance, error) {
+	charts, err := statechart.Load()
+	if err != nil {
+		return nil, errors.Wrap(err, "load the state charts")
+	}
+	i := &Instance{opts: o, cfg: o.Config, log: o.Log, charts: charts, aborted: make(chan struct{})}
+	i.seeds = seedFor(o.Seed, o.Config.Instance.Value)
+	if err := i.buildMesh(); err != nil {
+		return nil, err
+	}
+	if err := i.buildState(i.mesh); err != nil {
+		return nil, err
+	}
+	i.buildDecisions(i.mesh)
+	i.metrics = metrics.New(i.metricSources())
+	if err := i.buildGateway(); err != nil {
+		return nil, err
+	}
+	return i, nil
+}
+
+// transport makes an HTTP transport over the instance's network.
+func (i *Instance) transport() *http.Transport {
+	transport := &http.Transport{
+		DialContext:         i.opts.Dial,
+		MaxIdleConnsPerHost: idleConnsPerServer,
+		IdleConnTimeout:     idleConnTimeout,
+		DisableCompression:  true,
+	}
+	i.transports = append(i.transports, transport)
+	return transport
+}
+
+// buildMesh makes the connections to the other entry instances.
+func (i *Instance) buildMesh() error {
+	peerFiles, err := i.reloader(i.peerFiles())
+	if err != nil {
+		return errors.Wrap(err, "certificates for the peers")
+	}
+	dial := i.opts.Dial
+	if peerFiles != nil {
+		dial = peerFiles.Dialer(dial)
+	}
+	i.mesh = mesh.New(mesh.Config{
+		Self:   i.cfg.Instance.Value,
+		Secret: i.cfg.PeerSecret.Value,
+		Dial:   dial,
+		Rand:   i.newRand(),
+		Log:    i.log,
+	})
+	return nil
+}
+
+// setPeers tells the mesh of the entry instances that the list names.
+func (i *Instance) setPeers(v *membership.View) {
+	var others []peers.Peer
+	for _, m := range v.Entries {
+		if m.ID != i.cfg.Instance.Value {
+			others = append(others, peers.Peer{ID: m.ID, FailureDomain: m.FailureDomain, Address: m.Address})
+		}
+	}
+	i.mesh.SetPeers(others)
+}
+
+// buildState makes what reads and writes the platform.
+func (i *Instance) buildState(bus peers.Bus) error {
+	transport, err := i.clientTransport(i.cfg.PlatformTLS)
+	if err != nil {
+		return errors.Wrap(err, "certificates for the platform")
+	}
+	i.platform = httpplatform.New(&http.Client{Transport: transport}, i.cfg.PlatformURL.Value.String(), 0)
+	i.members = membership.New(i.platform, platform.Member{
+		ID:            i.cfg.Instance.Value,
+		Kind:          platform.MemberEntry,
+		Address:       i.cfg.AdvertisePeers.Value.String(),
+		FailureDomain: i.cfg.FailureDomain.Value,
+	}, i.newRand(), i.log)
+	i.data = datastore.New(datastore.WithSubset(i.cfg.Instance.Value, subsetSize))
+	i.syncer = configsync.New(configsync.Options{
+		Table:    i.platform,
+		Bus:      bus,
+		Rand:     i.newRand(),
+		Log:      i.log,
+		OnChange: i.applySettings,
+	})
+	i.commits = groupcommit.New(i.platform, i.commitBudget)
+	i.claims = claim.New(i.commits, i.platform, i.log)
+	i.ledger = billing.New(billing.Config{
+		Bus:           bus,
+		FailureDomain: i.cfg.FailureDomain.Value,
+		Commits:       i.commits,
+		Reads:         i.platform,
+		Log:           i.log,
+	})
+	return nil
+}
+
+// commitBudget is this instance's share of the fleet's commits.
+func (i *Instance) commitBudget() float64 {
+	return fleetCommitsPerSecond / float64(i.members.View().EntryCount())
+}
+
+// applySettings puts a revision in force on the data path.
+func (i *Instance) applySettings(s *settings.Snapshot) {
+	i.data.SetSettings(s)
+}
+
+// buildDecisions makes what chooses, learns and protects.
+func (i *Instance) buildDecisions(bus peers.Bus) {
+	i.watcher = serverwatch.New(serverwatch.Options{
+		Store:  i.data,
+		Client: &http.Client{Transport: i.transport()},
+		Bus:    bus,
+		Chart:  i.charts.Server,
+		Rand:   i.newRand(),
+		Logger: i.log,
+	})
+	i.orders = orders.New(orders.Options{
+		Table:     i.platform,
+		Store:     i.data,
+		Client:    &http.Client{Transport: i.transport()},
+		Self:      i.cfg.Instance.Value,
+		FleetSize: func() int { return i.members.View().EntryCount() },
+		Rand:      i.newRand(),
+		Logger:    i.log,
+	})
+	i.members.OnChange(i.setPeers)
+	i.members.OnChange(func(v *membership.View) { i.watcher.SetMembers(v.Servers) })
+	i.explain = explain.New(bus, i.opts.Tracing.Recorder(), i.cfg.ExplainRecords.Value)
+	i.suspects = quarantine.New(quarantine.Options{Bus: bus, Table: i.platform, Rand: i.newRand(), Logger: i.log})
+	i.rollouts = rollout.New(rollout.Options{
+		Bus:      bus,
+		Applier:  applier{i.syncer},
+		Settings: i.syncer.Snapshot,
+		Chart:    i.charts.Rollout,
+		Rand:     i.newRand(),
+		Logger:   i.log,
+	})
+	i.admit = flowcontrol.New()
+	i.windows = newWindows(bus, i.data, i.admit)
+	i.planner = cascade.NewPlanner(cascade.NewLearner(), cascade.NewBudget(float64(i.cfg.RatingRate.Value)))
+	i.learning = newLearning(bus, i.planner, i.cfg.RatingRate.Value)
+}
+
+func (i *Instance) buildGateway() error {
+	secret := sha256.Sum256(i.cfg.TokenSecret.Value)
+	keyring, err := session.NewKeyring(secret[:], i.cfg.SessionLifetime.Value)
+	if err != nil {
+		return errors.Wrap(err, "session tokens")
+	}
+	i.life = newLifecycle(i.charts, i.syncer, i.log)
+	transport, err := i.clientTransport(i.cfg.ServersTLS)
+	if err != nil {
+		return errors.Wrap(err, "certificates for the backend servers")
+	}
+	i.backend = backend.NewClient(transport, i.serverScheme(), maxAnswerBytes)
+	i.gateway = gateway.New(gateway.Options{
+		Data:          i.data,
+		Backend:       i.backend,
+		Ready:         i.life,
+		Tokens:        keyring,
+		Versions:      i.rollouts,
+		Planner:       i.planner,
+		Admission:     i.admit,
+		Suspects:      suspectTracker{Quarantine: i.suspects, servers: i.watcher},
+		Retries:       retry.New(i.newRand()),
+		Servers:       i.watcher,
+		Claims:        i.claims,
+		Bills:         i.ledger,
+		Rater:         rating.New(&http.Client{Transport: i.transport()}, i.ratingURL()),
+		Charts:        i.charts,
+		Records:       countedRecords{metrics: i.metrics, next: i.explain},
+		Log:           i.log,
+		Tracer:        i.opts.Tracing.Tracer(),
+		Rand:          i.newRand(),
+		StreamTime:    i.cfg.StreamTime.Value,
+		WriteTimeout:  i.cfg.WriteTimeout.Value,
+		Connections:   i.cfg.ConnectionsPerAccount.Value,
+		BodyBytes:     i.cfg.BodyBytes.Value,
+		FailureDomain: i.cfg.FailureDomain.Value,
+	})
+	return nil
+}
+
+// serverScheme is https where certificates for the backend servers are given.
+func (i *Instance) serverScheme() string {
+	if i.cfg.ServersTLS.CA.Value == "" {
+		return "http"
+	}
+	return "https"
+}
+
+func (i *Instance) ratingURL() string {
+	if i.cfg.RatingURL.Value == nil {
+		return ""
+	}
+	return i.cfg.RatingURL.Value.String()
+}
--- /dev/null
+++ b/internal/metrics/metrics.go
@@ -0,0 +1,199 @@
+// Package metrics counts what an entry instance does, in the JSON form of
+// package expvar. Each metric has a name, a unit and a meaning;
+// docs/METRICS.md is generated from them. A metric by label keeps a bounded
+// number of labels and counts the others under one.
+//
+// The variables are not published globally: several instances may run in one
+// process, and expvar's own page would show the command line, secrets included.
+package metrics
+
+import (
+	"expvar"
+	"fmt"
+	"net/http"
+	"runtime"
+	"sync"
+	"time"
+)
+
+// OverflowLabel counts what no further label could be kept for.
+const OverflowLabel = "other"
+
+// maxLabels bounds the labels of one metric.
+const maxLabels = 64
+
+// Kind is how a metric behaves.
+type Kind string
+
+// The kinds of metric.
+const (
+	// KindCounter only rises.
+	KindCounter Kind = "counter"
+	// KindGauge is read when asked for.
+	KindGauge Kind = "gauge"
+	// KindHistogram tells quantiles since the start of the process.
+	KindHistogram Kind = "histogram"
+)
+
+// Definition documents one metric.
+type Definition struct {
+	Name string
+	Kind Kind
+	Unit string
+	// Label says what the metric is counted by; empty for a single number.
+	Label string
+	Help  string
+}
+
+// variable is a metric with its value.
+type variable struct {
+	Definition
+	value expvar.Var
+}
+
+// Sources are the values that other components hold; a nil one reads as zero.
+type Sources struct {
+	SettingsRevision func() float64
+	ServersKnown     func() float64
+	ServersDown      func() float64
+	ServersLeaving   func() float64
+	EntriesListed    func() float64
+	TokensInFlight   func() float64
+	StoreCommits     func() float64
+	PeerLinks        func() float64
+	PeerBytesSent    func() float64
+	PeerBytesRead    func() float64
+	PeerDrops        func() float64
+	PeerRejects      func() float64
+}
+
+// Registry holds the metrics of one entry instance. Its fields, which
+// docs/METRICS.md describes, are safe for concurrent use.
+type Registry struct {
+	Requests        *Counter
+	Refusals        *Counter
+	Attempts        *Counter
+	AttemptOutcomes *Counter
+	InputTokens     *Counter
+	OutputTokens    *Counter
+	Cost            *Counter
+	RequestDuration *Histogram
+	QueueWait       *Histogram
+	AttemptDuration *Histogram
+
+	started time.Time
+
+	mu        sync.Mutex
+	variables []variable
+	byName    map[string]bool
+}
+
+// New makes a registry with every metric at zero.
+func New(sources Sources) *Registry {
+	r := &Registry{byName: make(map[string]bool), started: time.Now()}
+	r.Requests = r.counter("requests_total", "requests", "state", "Requests that ended, by the state of the request's chart in which they did.")
+	r.Refusals = r.counter("refusals_total", "requests", "code", "Requests refused or failed, by error code.")
+	r.Attempts = r.counter("attempts_total", "attempts", "target", "Attempts, by model@version or service.")
+	r.AttemptOutcomes = r.counter("attempt_outcomes_total", "attempts", "outcome", "Attempts, by how they ended.")
+	r.InputTokens = r.counter("input_tokens_total", "tokens", "target", "Prompt tokens on bills, by model@version.")
+	r.OutputTokens = r.counter("output_tokens_total", "tokens", "target", "Generated tokens on bills, by model@version.")
+	r.Cost = r.counter("cost_micro_units_total", "micro-units", "client account", "Cost billed, by client account.")
+	r.RequestDuration = r.histogram("request_duration_us", "Time from a request's arrival to its end.")
+	r.QueueWait = r.histogram("queue_wait_us", "Time that an attempt waited for its turn.")
+	r.AttemptDuration = r.histogram("attempt_duration_us", "Time of an attempt at a backend server.")
+	r.sources(sources)
+	r.process()
+	return r
+}
+
+// sources adds what other components hold.
+func (r *Registry) sources(s Sources) {
+	r.gauge("settings_revision", "revision", "Revision of the settings in force.", s.SettingsRevision)
+	r.gauge("servers_known", "backend servers", "Backend servers of the settings that this instance uses.", s.ServersKnown)
+	r.gauge("servers_down", "backend servers", "Of these, failed and not yet seen well again.", s.ServersDown)
+	r.gauge("servers_leaving", "backend servers", "Of these, leaving.", s.ServersLeaving)
+	r.gauge("entries_listed", "entry instances", "Entry instances on the membership list, this one included.", s.EntriesListed)
+	r.gauge("tokens_in_flight", "tokens", "Estimated tokens that this instance has in flight.", s.TokensInFlight)
+	r.gauge("store_commits_total", "transactions", "Transactions committed for claims and bills.", s.StoreCommits)
+	r.gauge("peer_links", "connections", "Connections to neighbouring entry instances.", s.PeerLinks)
+	r.gauge("peer_bytes_sent_total", "bytes", "Bytes sent to other entry instances.", s.PeerBytesSent)
+	r.gauge("peer_bytes_received_total", "bytes", "Bytes received from other entry instances.", s.PeerBytesRead)
+	r.gauge("peer_drops_total", "messages", "Messages to other entry instances dropped for a full queue.", s.PeerDrops)
+	r.gauge("peer_rejects_total", "messages", "Messages and connections refused as malformed or not authenticated.", s.PeerRejects)
+}
+
+// process adds what the runtime tells of the process.
+func (r *Registry) process() {
+	r.gauge("process_uptime_s", "seconds", "Time since the process started.", func() float64 {
+		return time.Since(r.started).Seconds()
+	})
+	r.gauge("process_goroutines", "goroutines", "Goroutines that exist.", func() float64 {
+		return float64(runtime.NumGoroutine())
+	})
+	r.gauge("process_heap_bytes", "bytes", "Memory in use on the heap.", func() float64 {
+		var m runtime.MemStats
+		runtime.ReadMemStats(&m)
+		return float64(m.HeapAlloc)
+	})
+}
+
+// gauge adds a metric whose value is read when asked for.
+func (r *Registry) gauge(name, unit, help string, read func() float64) {
+	value := expvar.Func(func() any {
+		if read == nil {
+			return 0
+		}
+		return read()
+	})
+	r.add(Definition{Name: name, Kind: KindGauge, Unit: unit, Help: help}, value)
+}
+
+func (r *Registry) counter(name, unit, label, help string) *Counter {
+	c := &Counter{}
+	r.add(Definition{Name: name, Kind: KindCounter, Unit: unit, Label: label, Help: help}, c)
+	return c
+}
+
+func (r *Registry) histogram(name, help string) *Histogram {
+	h := newHistogram()
+	r.add(Definition{Name: name, Kind: KindHistogram, Unit: "microseconds", Help: help}, h)
+	return h
+}
+
+// add registers a variable; a name used twice is a fault in the program.
+func (r *Registry) add(d Definition, value expvar.Var) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.byName[d.Name] {
+		panic("metric registered twice: " + d.Name)
+	}
+	r.byName[d.Name] = true
+	r.variables = append(r.variables, variable{Definition: d, value: value})
+}
+
+func (r *Registry) all() []variable {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return append([]variable(nil), r.variables...)
+}
+
+// Definitions lists the metrics in the order in which they were added.
+func (r *Registry) Definitions() []Definition {
+	var list []Definition
+	for _, v := range r.all() {
+		list = append(list, v.Definition)
+	}
+	return list
+}
+
+// ServeHTTP writes every metric as one JSON document.
+func (r *Registry) ServeHTTP(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "application/json; charset=utf-8")
+	separator := "{\n"
+	for _, v := range r.all() {
+		// The reader may be gone; there is nobody else to tell.
+		_, _ = fmt.Fprintf(w, "%s%q: %s", separator, v.Name, v.value)
+		separator = ",\n"
+	}
+	_, _ = fmt.Fprintln(w, "\n}")
+}
--- a/internal/peers/bus.go
+++ b/internal/peers/bus.go
@@ -2,7 +2,15 @@
 // with CBOR bodies, over a bounded number of connections per instance.
 package peers
 
-import "context"
+import (
+	"context"
+
+	"github.com/pkg/errors"
+)
+
+// ErrNotConnected is returned by a Request whose peer could not be reached:
+// nothing was sent.
+var ErrNotConnected = errors.New("peer not connected")
 
 // Kind tells what a message carries. A kind never changes its meaning; a new
 // shape gets a new kind.
@@ -32,10 +40,17 @@
 	KindServerState
 	// KindExplain asks for one request's record.
 	KindExplain
+	// KindSuspectSlot asks for, holds or gives back a server's slot for suspect content.
+	KindSuspectSlot
+	// KindRatings carries rated answers by client account, task and version.
+	KindRatings
 	// KindSettingsIntent announces a settings commit before it is sent.
 	KindSettingsIntent
 )
 
+// KindCommit asks a peer to commit a transaction to the table service.
+const KindCommit Kind = 24
+
 // Message is one received message.
 type Message struct {
 	Kind Kind
@@ -66,7 +81,9 @@
 	Self() string
 	// Handle registers the handler of a kind, before the bus is started.
 	Handle(kind Kind, h Handler)
-	// Broadcast sends to every instance, directly or relayed, at best effort.
+	// Broadcast sends at best effort to every instance, directly or relayed. In
+	// a fleet too large to be fully connected, only KindSettingsHint,
+	// KindSuspension, KindSuspect and KindServerState go beyond the neighbours.
 	Broadcast(kind Kind, body any)
 	// Request sends to one peer and decodes its reply into reply, unless nil.
 	Request(ctx context.Context, peer string, kind Kind, body, reply any) error
