--- a/internal/ctl/cli.go
+++ b/internal/ctl/cli.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/tls"
 	"crypto/x509"
+	"encoding/json"
 	"fmt"
 	"io"
 	"net/http"
@@ -66,6 +67,9 @@
 	InstallCompletions kongplete.InstallCompletions `cmd:"" help:"Install shell completion."`
 }
 
+// outputJSON is the value of --output for JSON.
+const outputJSON = "json"
+
 // run is what the commands get.
 type run struct {
 	ctx    context.Context
@@ -98,7 +102,11 @@
 		fmt.Fprintf(errOut, "basilrailctl: %v\n", err)
 		return ExitUsage
 	}
-	return report(errOut, line.runCommand(ctx, command, out, errOut))
+	err = line.runCommand(ctx, command, out, errOut)
+	if line.Output == outputJSON {
+		return reportJSON(errOut, err)
+	}
+	return report(errOut, err)
 }
 
 func (c *cli) runCommand(ctx context.Context, command *kong.Context, out, errOut io.Writer) error {
@@ -111,7 +119,7 @@
 	return command.Run(&run{
 		ctx:      ctx,
 		client:   &client{entries: c.Entries, key: c.Key, http: &http.Client{Transport: transport}},
-		printer:  printer{out: out, json: c.Output == "json"},
+		printer:  printer{out: out, json: c.Output == outputJSON},
 		warnings: errOut,
 	})
 }
@@ -139,6 +147,50 @@
 		return ExitOK
 	}
 	fmt.Fprintln(errOut, strings.TrimSpace(err.Error()))
+	var refused *apiError
+	if errors.As(err, &refused) {
+		for _, conflict := range refused.Conflicts {
+			fmt.Fprintf(errOut, "%s is at revision %d; from there to your document:\n%s",
+				conflict.Current.Path, conflict.Current.Revision, conflict.Diff.Text)
+		}
+	}
+	return exitCode(err)
+}
+
+// failure is an error that did not come from the API, as JSON.
+type failure struct {
+	Message  string        `json:"message"`
+	ExitCode int           `json:"exit_code"`
+	Findings findings.List `json:"findings,omitempty"`
+}
+
+// failureBody has the form of the API's refusals.
+type failureBody struct {
+	Error failure `json:"error"`
+}
+
+// reportJSON prints an error as JSON, in the API's own form where it came from
+// there, and returns its exit code.
+func reportJSON(errOut io.Writer, err error) int {
+	if err == nil {
+		return ExitOK
+	}
+	encoder := json.NewEncoder(errOut)
+	encoder.SetIndent("", "  ")
+	var refused *apiError
+	if errors.As(err, &refused) {
+		_ = encoder.Encode(refused.ErrorBody)
+		return exitCode(err)
+	}
+	told := failure{Message: err.Error(), ExitCode: exitCode(err)}
+	if errors.As(err, &told.Findings) {
+		told.Message = "the settings are not valid"
+	}
+	_ = encoder.Encode(failureBody{Error: told})
+	return exitCode(err)
+}
+
+func exitCode(err error) int {
 	var list findings.List
 	var unknown *unknownError
 	var refused *apiError
@@ -149,7 +201,7 @@
 	case errors.As(err, &unknown):
 		return ExitUnknown
 	case errors.As(err, &refused):
-		return exitCodeOf(refused, errOut)
+		return exitCodeOf(refused)
 	case errors.As(err, &unreachable), errors.Is(err, errUnreachable):
 		return ExitUnavailable
 	default:
@@ -157,13 +209,9 @@
 	}
 }
 
-func exitCodeOf(refused *apiError, errOut io.Writer) int {
+func exitCodeOf(refused *apiError) int {
 	switch refused.ErrorBody.Error.Code {
 	case apierror.CodeConflict:
-		for _, conflict := range refused.Conflicts {
-			fmt.Fprintf(errOut, "%s is at revision %d; from there to your document:\n%s",
-				conflict.Current.Path, conflict.Current.Revision, conflict.Diff.Text)
-		}
 		return ExitConflict
 	case apierror.CodeUnauthenticated, apierror.CodeForbidden:
 		return ExitRefused
--- a/internal/ctl/ctl_test.go
+++ b/internal/ctl/ctl_test.go
@@ -142,6 +142,24 @@
 	}
 }
 
+func TestErrorsAsJSON(t *testing.T) {
+	f := newFixture(t)
+	f.run(ExitOK, "apply", f.dir)
+	require.NoError(t, os.Remove(filepath.Join(f.dir, baseFileName)))
+	f.edit(f.dir, "teams/ikoyi.yaml", "deadline: 30s", "deadline: 10s")
+	_, errOut := f.run(ExitConflict, "-o", "json", "apply", f.dir)
+	var refusal adminapi.ErrorBody
+	require.NoError(t, json.Unmarshal([]byte(errOut), &refusal))
+	require.Len(t, refusal.Conflicts, 1)
+	assert.Equal(t, "/teams/ikoyi", refusal.Conflicts[0].Current.Path)
+
+	f.edit(f.dir, "teams/ikoyi.yaml", "deadline: 10s", "deadline: 0s")
+	_, errOut = f.run(ExitFindings, "-o", "json", "check", f.dir)
+	var told failureBody
+	require.NoError(t, json.Unmarshal([]byte(errOut), &told))
+	assert.Equal(t, "/teams/ikoyi:3: deadline must be longer than zero", told.Error.Findings.Error())
+}
+
 func TestPruneDeletes(t *testing.T) {
 	f := newFixture(t)
 	f.run(ExitOK, "apply", f.dir)
