--- a/internal/admin/admin_test.go
+++ b/internal/admin/admin_test.go
@@ -200,6 +200,20 @@
 	f.call("root", "POST", adminapi.PathWithdraw, adminapi.WithdrawRequest{ChangeID: "w2", Version: "m@v9"}, http.StatusNotFound, nil)
 }
 
+func TestRefusalIsNotMadeOnLaggingSettings(t *testing.T) {
+	f := newFixture(t)
+	other := configsync.New(configsync.Options{Table: f.table, Bus: membus.New().Join("entry-1", "h"), Rand: rand.New(rand.NewPCG(1, 2))})
+	_, err := other.Apply(context.Background(), settings.Change{ID: "o", Documents: []settings.Document{
+		{Path: "/models/m", Body: []byte(modelDoc + "  v3: {}\n"), Revision: 1},
+	}})
+	require.NoError(t, err)
+	withdraw := adminapi.WithdrawRequest{ChangeID: "w", Version: "m@v3"}
+	f.call("root", "POST", adminapi.PathWithdraw, withdraw, http.StatusOK, nil)
+	f.table.SetFaults(memtable.Faults{Down: true})
+	withdraw.Version = "m@v4"
+	f.call("root", "POST", adminapi.PathWithdraw, withdraw, http.StatusServiceUnavailable, nil)
+}
+
 func TestRolloutActions(t *testing.T) {
 	f := newFixture(t)
 	act := func(action string, want int) {
--- a/internal/configsync/syncer.go
+++ b/internal/configsync/syncer.go
@@ -107,6 +107,12 @@
 // Snapshot returns the settings in force.
 func (s *Syncer) Snapshot() *settings.Snapshot { return s.state.Load().snapshot }
 
+// Document returns the document in force at a path.
+func (s *Syncer) Document(path string) (doc settings.Document, ok bool) {
+	doc, ok = s.state.Load().docs[path]
+	return doc, ok
+}
+
 // Documents returns the documents in force at or below a subtree, in the order
 // of their paths, and their revision.
 func (s *Syncer) Documents(subtree string) ([]settings.Document, uint64) {
--- a/internal/ctl/commands.go
+++ b/internal/ctl/commands.go
@@ -231,7 +231,9 @@
 	var todo []adminapi.Document
 	for _, doc := range docs {
 		now, exists := byPath[doc.Path]
-		if exists && bytes.Equal([]byte(now.Body), doc.Body) {
+		// An instance that lags behind what the directory builds on can't tell.
+		lags := base.Revisions[doc.Path] > inForce.Revision
+		if exists && !lags && bytes.Equal([]byte(now.Body), doc.Body) {
 			continue
 		}
 		todo = append(todo, adminapi.Document{Path: doc.Path, Body: string(doc.Body), Revision: base.Revisions[doc.Path]})
