Judge false stops with the differing views of nine instances

The measure looked at one view only. Now each of nine instances judges its own answers and what the others last told.

--- a/internal/measure/exposure.go
+++ b/internal/measure/exposure.go
@@ -46,8 +46,10 @@
 	// goodRollouts and goodAnswers are the size of the run of good roll-outs.
 	goodRollouts = 1000
 	goodAnswers  = 3000
-	// lookEvery is the number of answers between two looks at them.
-	lookEvery = 10
+	// lookEvery is the number of answers between two looks of an instance, and
+	// tellEvery between two messages.
+	lookEvery = 5
+	tellEvery = 4
 	// fixedSamples is when the baseline of a fixed threshold begins to judge.
 	fixedSamples = 20
 )
@@ -303,25 +305,59 @@
 	}
 }
 
-// judgeGood returns 1 for each of the two rules that stops the version.
+// judgeGood returns 1 for each of the two rules that stops the version. Several
+// instances judge, each with its own answers and what the others last told.
 func judgeGood(random *rand.Rand, share float64) (fixed, sequential int) {
-	var total rollout.Counts
-	var watch rollout.Cusum
+	var views exposureViews
 	for i := range goodAnswers {
+		entry := random.IntN(fleetEntries)
 		answer := countOf(random.Float64() >= share)
-		total.Good += answer.Good
-		total.Bad += answer.Bad
-		turned := watch.Add(answer, exposureLimit)
-		if turned || i%lookEvery == 0 && rollout.Exceeds(total, exposureLimit) {
+		turned := views.add(entry, answer)
+		if i%tellEvery == 0 {
+			views.tell(random.IntN(fleetEntries))
+		}
+		if turned || i%lookEvery == 0 && rollout.Exceeds(views.of(random.IntN(fleetEntries)), exposureLimit) {
 			sequential = 1
 		}
-		if total.Total() >= fixedSamples && total.BadRate() > exposureLimit {
+		if total := views.total; total.Total() >= fixedSamples && total.BadRate() > exposureLimit {
 			fixed = 1
 		}
 	}
 	return fixed, sequential
 }
 
+// exposureViews is what each of several instances knows of one version.
+type exposureViews struct {
+	own, told [fleetEntries]rollout.Counts
+	total     rollout.Counts
+	watch     rollout.Cusum
+}
+
+// add counts an answer at an instance; it reports whether the watch for a turn trips.
+func (v *exposureViews) add(entry int, answer rollout.Counts) bool {
+	v.own[entry] = sum(v.own[entry], answer)
+	v.total = sum(v.total, answer)
+	return v.watch.Add(answer, exposureLimit)
+}
+
+// tell lets an instance tell the others all it knows.
+func (v *exposureViews) tell(entry int) { v.told[entry] = v.own[entry] }
+
+// of is what an instance knows.
+func (v *exposureViews) of(entry int) rollout.Counts {
+	known := v.own[entry]
+	for other, counts := range v.told {
+		if other != entry {
+			known = sum(known, counts)
+		}
+	}
+	return known
+}
+
+func sum(a, b rollout.Counts) rollout.Counts {
+	return rollout.Counts{Good: a.Good + b.Good, Bad: a.Bad + b.Bad}
+}
+
 // turnsBadRow takes the time from enough evidence until a version at full
 // traffic is off everywhere. The baseline's instances hear nothing from each other.
 func turnsBadRow(seed uint64) Row {
