Make the frozen instance's test fail without its mechanism

Requests now wait in the frozen instance's sockets, so that they are served at the instant when it goes on. Without the check that settings are vouched for (removed on a scratch copy) the test printed "Should not be: 200" with whole answers of the withdrawn version; before, the instance caught up first and the test passed without the check. Ports come from a block below the system's own: two runs at once had met at one port ("address already in use"). Instances are waited for until ready, not only live.

--- a/internal/daemon/process_test.go
+++ b/internal/daemon/process_test.go
@@ -34,6 +34,8 @@
 	operatorKey = "test-operator"
 	callerKey   = "test-caller"
 	withdrawn   = "tagger@v1"
+	// waitingRequests is the number of requests that wait for a frozen instance.
+	waitingRequests = 16
 	// patience bounds the wait for a condition.
 	patience = 20 * time.Second
 )
@@ -61,12 +63,28 @@
 	client    *http.Client
 }
 
-// freeAddress finds a port that is free now.
+// The ports lie below those that the system gives to outgoing connections, and
+// each run of the test takes a block of its own.
+const (
+	firstPort     = 20_000
+	portsPerBlock = 100
+	portBlocks    = 120
+)
+
+var nextPort = firstPort + os.Getpid()%portBlocks*portsPerBlock
+
+// freeAddress finds a port that is free now and was not given out before.
 func freeAddress(t *testing.T) string {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	defer listener.Close()
-	return listener.Addr().String()
+	for {
+		address := fmt.Sprintf("127.0.0.1:%d", nextPort)
+		nextPort++
+		require.Less(t, nextPort, firstPort+portsPerBlock*(portBlocks+1), "no port is free")
+		listener, err := net.Listen("tcp", address)
+		if err == nil {
+			require.NoError(t, listener.Close())
+			return address
+		}
+	}
 }
 
 // start runs a program until the test ends.
@@ -126,7 +144,7 @@
 			"--bootstrap-key-sha256="+sum(operatorKey), "--drain-wait=200ms"))
 	}
 	for n := range p.entries {
-		p.eventually("entry is live", func() bool { return p.get(n, "/health/live") != nil })
+		p.eventually("the instance is ready", func() bool { return p.get(n, "/health/ready") != nil })
 	}
 	p.ctl(0, "apply", p.dir)
 	p.eventually("settings are in force", func() bool { return p.revision(0) > 0 && p.revision(1) > 0 && p.revision(2) > 0 })
@@ -241,9 +259,15 @@
 	p.eventually("the withdrawal is in force", func() bool { return p.revision(2) > before })
 	// Longer than an instance may serve without having read the settings.
 	time.Sleep(6 * time.Second)
+	// These reach the instance at the instant when it goes on.
+	answers := make(chan caller.Answer, waitingRequests)
+	for range waitingRequests {
+		go func() { answers <- p.chat(1, false) }()
+	}
+	time.Sleep(100 * time.Millisecond)
 	require.NoError(t, p.entries[1].Process.Signal(syscall.SIGCONT))
-	for range 5 {
-		answer := p.chat(1, false)
+	for range waitingRequests {
+		answer := <-answers
 		assert.NotEqual(t, http.StatusOK, answer.Status, answer.Text)
 	}
 	p.eventually("the instance catches up", func() bool { return p.revision(1) == p.revision(2) })
--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -54,7 +54,7 @@
     launch_entry "$n" "${!n}"
   done
   for n in $(seq "$ENTRY_COUNT"); do
-    "$BIN/basilrail-standin" caller wait "$(operators "$n")/health/live"
+    "$BIN/basilrail-standin" caller wait "$(operators "$n")/health/ready"
   done
   check_running
   export BASILRAIL_ENTRIES
@@ -64,9 +64,6 @@
   line="$("$BIN/basilrailctl" apply "$WORK/settings")"
   echo "$line"
   wait_in_force "$(revision_of "$line")"
-  for n in $(seq "$ENTRY_COUNT"); do
-    "$BIN/basilrail-standin" caller wait "$(operators "$n")/health/ready"
-  done
 }
 
 # revision_of LINE prints the revision that a change was committed as.
