--- a/internal/measure/pool.go
+++ b/internal/measure/pool.go
@@ -14,7 +14,6 @@
 
 const (
 	poolServers  = 18
-	poolEntries  = 8
 	poolCapacity = 8
 	poolName     = "large@v1"
 	// hop is the time from an entry to a backend server, one way.
@@ -32,13 +31,21 @@
 	firstTokenTarget = 1300 * time.Millisecond
 )
 
+// The servers of a pool that have a fault in a faulty run.
+const (
+	silentServer = iota
+	lyingServer
+	slowServer
+)
+
 // arrival is one request of a client account.
 type arrival struct {
 	at      time.Time
 	account settings.AccountID
-	entry   int
-	input   int
-	output  int
+	// entry is a random number that decides the entry instance.
+	entry  int
+	input  int
+	output int
 }
 
 func (a *arrival) tokens() int64 { return int64(a.input + a.output) }
@@ -54,7 +61,7 @@
 			return list
 		}
 		list = append(list, arrival{
-			at: at, account: account, entry: rng.IntN(poolEntries),
+			at: at, account: account, entry: rng.Int(),
 			input:  1 + int(400*math.Exp(0.7*rng.NormFloat64())),
 			output: 1 + int(150*math.Exp(0.5*rng.NormFloat64())),
 		})
@@ -63,11 +70,17 @@
 
 // poolOptions is what varies between runs.
 type poolOptions struct {
-	fair bool
+	fair    bool
+	entries int
 	// declared is the capacity that the settings declare for a server.
 	declared int
 	// slowdown stretches the engines' steps; 1 is the normal speed.
 	slowdown float64
+	// pick chooses a server; nil for the project's way.
+	pick pickFunc
+	// faulty gives three servers a fault each: one reports no load, one does
+	// not report and one runs at a third of its speed.
+	faulty bool
 	// adaptive adjusts the windows by what is observed.
 	adaptive bool
 }
@@ -86,13 +99,13 @@
 // poolRun is one run of entries before a pool of engines.
 type poolRun struct {
 	poolOptions
-	sim     *simulation
-	rng     *rand.Rand
-	engines map[string]*engine
-	order   []string
-	entries []*poolEntry
-	result  poolResult
-	seq     int
+	sim       *simulation
+	rng       *rand.Rand
+	engines   map[string]*engine
+	order     []string
+	instances []*poolEntry
+	result    poolResult
+	seq       int
 }
 
 // poolEntry is one entry instance.
@@ -128,8 +141,12 @@
 	for i := range poolServers {
 		id := fmt.Sprintf("server-%02d", i)
 		r.order = append(r.order, id)
+		slowdown := r.slowdown
+		if r.faulty && i == slowServer {
+			slowdown *= 3
+		}
 		r.engines[id] = &engine{
-			sim: r.sim, capacity: poolCapacity, slowdown: r.slowdown, honoursPriority: r.fair,
+			sim: r.sim, capacity: poolCapacity, slowdown: slowdown, honoursPriority: r.fair,
 		}
 	}
 }
@@ -139,7 +156,7 @@
 	for _, id := range r.order {
 		tree.Servers[id] = settings.Server{Models: []string{dearVersion.Model}, Capacity: r.declared}
 	}
-	for i := range poolEntries {
+	for i := range r.entries {
 		entry := &poolEntry{
 			id: fmt.Sprintf("entry-%d", i), store: datastore.New(), shares: flowcontrol.NewShares(),
 			limit: newAdaptiveWindow(),
@@ -148,8 +165,8 @@
 		for _, id := range r.order {
 			entry.store.SetStatus(id, datastore.Status{Versions: []settings.VersionRef{dearVersion}})
 		}
-		entry.queue = newAdmitter(r.fair, float64(poolServers*r.declared)/poolEntries)
-		r.entries = append(r.entries, entry)
+		entry.queue = newAdmitter(r.fair, float64(poolServers*r.declared)/float64(r.entries))
+		r.instances = append(r.instances, entry)
 	}
 }
 
@@ -172,7 +189,7 @@
 }
 
 func (r *poolRun) arrive(a *arrival) {
-	entry := r.entries[a.entry]
+	entry := r.instances[a.entry%len(r.instances)]
 	if !entry.queue.offer(r.sim.now, a) {
 		if r.isMeasured() {
 			r.result.refused++
@@ -197,14 +214,8 @@
 
 func (r *poolRun) send(entry *poolEntry, s started) {
 	a := s.arrival
-	decision, err := scheduling.Pick(entry.store.Snapshot(), scheduling.Request{
-		Version: dearVersion, Tokens: a.tokens(), Now: r.sim.now, Slice: entry.slice,
-	}, r.rng)
-	if err != nil {
-		// Every server of the fake pool is always up.
-		panic(err)
-	}
-	decision.Server.Begin(a.tokens())
+	server := r.choose(entry, a)
+	server.Begin(a.tokens())
 	r.seq++
 	sentAt := r.sim.now
 	var inTime bool
@@ -218,12 +229,12 @@
 		}
 	}
 	j.done = func() {
-		decision.Server.End(a.tokens())
+		server.End(a.tokens())
 		entry.queue.finish(r.sim.now, s)
 		r.countDone(a, inTime)
 		r.start(entry)
 	}
-	r.sim.after(hop, func() { r.engines[decision.Server.ID].submit(j) })
+	r.sim.after(hop, func() { r.engines[server.ID].submit(j) })
 }
 
 func (r *poolRun) countDone(a *arrival, inTime bool) {
@@ -236,12 +247,36 @@
 	}
 }
 
+// pickFunc chooses one of a list of servers.
+type pickFunc func(servers []*datastore.Server, rng *rand.Rand) *datastore.Server
+
+func (r *poolRun) choose(entry *poolEntry, a *arrival) *datastore.Server {
+	snap := entry.store.Snapshot()
+	if r.pick != nil {
+		return r.pick(snap.ForVersion(dearVersion), r.rng)
+	}
+	decision, err := scheduling.Pick(snap, scheduling.Request{
+		Version: dearVersion, Tokens: a.tokens(), Now: r.sim.now, Slice: entry.slice,
+	}, r.rng)
+	if err != nil {
+		// Every server of the fake pool is always up.
+		panic(err)
+	}
+	return decision.Server
+}
+
 // report sends every engine's load to the entries, late.
 func (r *poolRun) report() {
-	for _, id := range r.order {
+	for i, id := range r.order {
 		queued, running := r.engines[id].load()
+		if r.faulty && i == silentServer {
+			continue
+		}
+		if r.faulty && i == lyingServer {
+			queued, running = 0, 0
+		}
 		r.sim.after(reportLag, func() {
-			for _, entry := range r.entries {
+			for _, entry := range r.instances {
 				entry.store.SetStatus(id, datastore.Status{
 					Versions: []settings.VersionRef{dearVersion}, QueuedTokens: queued, RunningTokens: running,
 					ReportedAt: r.sim.now,
@@ -253,23 +288,24 @@
 
 // exchangeDemand tells every entry the others' demand and sets the windows.
 func (r *poolRun) exchangeDemand() {
-	demands := make([]flowcontrol.Demand, len(r.entries))
-	for i, entry := range r.entries {
+	demands := make([]flowcontrol.Demand, len(r.instances))
+	for i, entry := range r.instances {
 		demands[i] = entry.queue.demand(r.sim.now)
 	}
-	for _, entry := range r.entries {
-		for i, from := range r.entries {
+	for _, entry := range r.instances {
+		for i, from := range r.instances {
 			entry.shares.Hear(r.sim.now, from.id, demands[i])
 		}
 		share := entry.shares.Share(r.sim.now, entry.id, poolName, float64(poolServers*r.declared))
 		factor := 1.0
 		if r.adaptive {
 			factor = entry.limit.current()
+			share.Window *= factor
 		}
 		if r.fair {
 			entry.slice = scheduling.Slice{From: share.From * factor, To: share.To * factor}
-			servers := entry.store.Snapshot().ForVersion(dearVersion)
-			entry.queue.setWindow(float64(entry.slice.Places(servers)))
+			places := entry.slice.Places(entry.store.Snapshot().ForVersion(dearVersion))
+			entry.queue.setWindow(min(share.Window, float64(places)))
 		}
 		r.start(entry)
 	}
--- a/internal/peers/bus.go
+++ b/internal/peers/bus.go
@@ -44,6 +44,8 @@
 	KindSuspectSlot
 	// KindRatings carries rated answers by client account, task and version.
 	KindRatings
+	// KindSettingsIntent announces a settings commit before it is sent.
+	KindSettingsIntent
 )
 
 // KindCommit asks a peer to commit a transaction to the table service.
