--- a/internal/entry/golden_test.go
+++ b/internal/entry/golden_test.go
@@ -85,9 +85,9 @@
 
 // events notes which events were logged.
 func (s *transcript) events() {
-	s.f.logLock.Lock()
+	s.f.mu.Lock()
 	found := eventPattern.FindAllStringSubmatch(s.f.log.String(), -1)
-	s.f.logLock.Unlock()
+	s.f.mu.Unlock()
 	var lines []string
 	for _, match := range found {
 		lines = append(lines, match[1]+" "+match[2])
