--- a/internal/standin/booking/booking.go
+++ b/internal/standin/booking/booking.go
@@ -1,5 +1,6 @@
-// Package booking is a stand-in for a plain booking service, whose calls must
-// not be repeated. It counts each execution.
+// Package booking is a stand-in for plain services whose calls must not be
+// repeated: van pickups of a booking application, work orders of a scheduling
+// service. It counts each execution.
 package booking
 
 import (
@@ -82,7 +83,9 @@
 	r.Group(func(r chi.Router) {
 		r.Use(standin.AbortIf(func() bool { return s.faults.Get().Down }))
 		r.Post("/bookings", s.book)
+		r.Post("/work-orders", s.book)
 		r.Get("/slots", s.slots)
+		r.Get("/units", s.slots)
 		r.Get("/status", s.status)
 	})
 	r.Get("/received", s.getReceived)
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -1,13 +1,14 @@
 #!/usr/bin/env bash
-# Shows the lagos-main example at work: separate processes for the platform,
-# the rating service, the backend servers and three entry instances. Ends with
-# "demo: ok", or with what went wrong and a status above zero.
+# Shows both examples at work: separate processes for the platform, the rating
+# service, the backend servers and three entry instances. Ends with "demo: ok",
+# or with what went wrong and a status above zero.
 set -euo pipefail
 # shellcheck source=scripts/fleet.sh
 source "$(dirname "$0")/fleet.sh"
 
 SHOP=demo-ikoyi-shop-a
 DEPOT=demo-ikoyi-depot
+BENCH=demo-garage-bench-1
 caller="$BIN/basilrail-standin caller"
 ctl="$BIN/basilrailctl"
 
@@ -126,6 +127,28 @@
   $ctl bills | sed 's/^/   /'
 }
 
+# order ENTRY sends the same work order under the same key.
+order() {
+  $caller call --entry "$(callers "$1")" --key "$BENCH" --idempotency-key order-1 \
+    scheduling /work-orders '{"unit":"plough-7","work":"brakes"}'
+}
+
+# workshop shows the quebec-est example, with the death of an entry instance.
+workshop() {
+  fleet_up quebec-est salle-levis salle-beauport salle-charny
+  title "quebec-est: a maintenance plan, from entry 2"
+  show "$(chat 2 --key "$BENCH" --task plan "Full maintenance plan for plough 7")"
+  title "A work order at entry 1, which is then killed, and the same order at entry 3"
+  local first second
+  first="$(order 1)" || fail "the work order was refused: $first"
+  kill -KILL "$(pid_of entry-1)"
+  second="$(order 3)" || fail "the repeated work order was refused: $second"
+  echo "   entry 1: $(answer_of "$first")"
+  echo "   entry 3: $(answer_of "$second") (recorded outcome: $(field replayed "$second"))"
+  [[ "$(answer_of "$first")" == "$(answer_of "$second")" ]] || fail "the work order was sent twice"
+  fleet_down
+}
+
 fleet_up lagos-main hall-ikeja hall-lekki hall-yaba
 describe
 summarise
@@ -134,9 +157,9 @@
 withdraw
 account
 check_running
-started=("${PIDS[@]}")
 fleet_down
-for pid in "${started[@]}"; do
+workshop
+for pid in "${STARTED[@]}"; do
   ! kill -0 "$pid" 2>/dev/null || fail "process $pid is left behind"
 done
 echo
--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -4,7 +4,10 @@
 ROOT="$(cd "$(dirname "${BASH_SOURCE[0]}")/.." && pwd)"
 BIN="$ROOT/bin"
 WORK=""
+# PIDS are the processes that run, NAMES what they are, STARTED all there were.
 PIDS=()
+NAMES=()
+STARTED=()
 ENTRY_COUNT=3
 
 PLATFORM=127.0.0.1:9001
@@ -25,6 +28,16 @@
   shift
   "$@" >"$WORK/$name.log" 2>&1 &
   PIDS+=($!)
+  STARTED+=($!)
+  NAMES+=("$name")
+}
+
+# pid_of NAME prints the process id of a process.
+pid_of() {
+  local i
+  for i in "${!NAMES[@]}"; do
+    [[ "${NAMES[$i]}" != "$1" ]] || echo "${PIDS[$i]}"
+  done
 }
 
 # launch_entry NUMBER FAILURE-DOMAIN starts an entry instance.
@@ -106,6 +119,7 @@
     wait "$pid" 2>/dev/null || true
   done
   PIDS=()
+  NAMES=()
   rm -rf "$WORK"
 }
 
