--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -4,7 +4,10 @@
 ROOT="$(cd "$(dirname "${BASH_SOURCE[0]}")/.." && pwd)"
 BIN="$ROOT/bin"
 WORK=""
+# PIDS are the processes that run, NAMES what they are, STARTED all there were.
 PIDS=()
+NAMES=()
+STARTED=()
 ENTRY_COUNT=3
 
 PLATFORM=127.0.0.1:9001
@@ -25,6 +28,16 @@
   shift
   "$@" >"$WORK/$name.log" 2>&1 &
   PIDS+=($!)
+  STARTED+=($!)
+  NAMES+=("$name")
+}
+
+# pid_of NAME prints the process id of a process.
+pid_of() {
+  local i
+  for i in "${!NAMES[@]}"; do
+    [[ "${NAMES[$i]}" != "$1" ]] || echo "${PIDS[$i]}"
+  done
 }
 
 # launch_entry NUMBER FAILURE-DOMAIN starts an entry instance.
@@ -54,7 +67,7 @@
     launch_entry "$n" "${!n}"
   done
   for n in $(seq "$ENTRY_COUNT"); do
-    "$BIN/basilrail-standin" caller wait "$(operators "$n")/health/live"
+    "$BIN/basilrail-standin" caller wait "$(operators "$n")/health/ready"
   done
   check_running
   export BASILRAIL_ENTRIES
@@ -64,9 +77,6 @@
   line="$("$BIN/basilrailctl" apply "$WORK/settings")"
   echo "$line"
   wait_in_force "$(revision_of "$line")"
-  for n in $(seq "$ENTRY_COUNT"); do
-    "$BIN/basilrail-standin" caller wait "$(operators "$n")/health/ready"
-  done
 }
 
 # revision_of LINE prints the revision that a change was committed as.
@@ -109,6 +119,7 @@
     wait "$pid" 2>/dev/null || true
   done
   PIDS=()
+  NAMES=()
   rm -rf "$WORK"
 }
 
