--- a/internal/entry/build.go
+++ b/internal/entry/build.go
@@ -40,7 +40,7 @@
 	// claims and bills of the whole fleet may take.
 	fleetCommitsPerSecond = 300.0
 	// subsetSize is the number of servers of each model that an instance uses.
-	subsetSize = 24
+	subsetSize = 16
 	// maxAnswerBytes bounds a whole answer of a backend server.
 	maxAnswerBytes = 16 << 20
 	// idleConnsPerServer is the number of idle connections kept to a backend server.
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -104,6 +104,8 @@
 	p.grant = grant
 	if refusal := p.choose(ctx, verdict); refusal != nil {
 		grant.Release(0)
+		// This gives back the slot that a suspect may have taken.
+		w.r.gateway.Suspects.End(p.id, false)
 		p.record.Outcome = string(refusal.Code)
 		return nil, refusal
 	}
@@ -168,7 +170,11 @@
 	if !verdict.Suspect {
 		return nil
 	}
-	return p.isolate(ctx)
+	if refusal := p.isolate(ctx); refusal != nil {
+		return refusal
+	}
+	// Isolating may have taken seconds.
+	return p.work.permit()
 }
 
 func (p *placement) pick(excluded []string) (*datastore.Server, *apierror.Error) {
@@ -199,7 +205,7 @@
 	g := p.work.r.gateway
 	candidates := []string{p.server.ID}
 	for _, c := range p.record.Candidates {
-		if c.Server != p.server.ID {
+		if c.Server != p.server.ID && c.Why.Eligible() {
 			candidates = append(candidates, c.Server)
 		}
 	}
--- a/internal/scheduling/scheduling.go
+++ b/internal/scheduling/scheduling.go
@@ -121,6 +121,11 @@
 	NotCompared         Reason = "not among those compared"
 )
 
+// Eligible tells whether a server with this reason might have got the attempt.
+func (r Reason) Eligible() bool {
+	return r != RejectedExcluded && r != RejectedLeaving && r != RejectedDown
+}
+
 // Candidate is what explain shows of one server.
 type Candidate struct {
 	Server string
