Test a frozen instance in an operator race; add make soak

An instance that stands still for a minute between check and commit resumes into a head that has moved. Without the condition on the head (trial on a scratch copy) TestFrozenInstanceLosesTheRace fails: an error is expected but got nil, expected *configsync.ConflictError.

--- a/Makefile
+++ b/Makefile
@@ -43,3 +43,8 @@
 
 capacity:
 	$(GO) run ./cmd/basilrail-capacity
+
+# soak runs the model-based test with fresh seeds; a failure prints its seed.
+SOAK_CHECKS ?= 2000
+soak:
+	BASILRAIL_SOAK=1 $(GO) test -count=1 -run RandomInterleavings ./internal/configsync -rapid.checks=$(SOAK_CHECKS)
--- a/internal/configsync/configsync_test.go
+++ b/internal/configsync/configsync_test.go
@@ -117,6 +117,27 @@
 	})
 }
 
+func TestFrozenInstanceLosesTheRace(t *testing.T) {
+	inBubble(t, 3, func(t *testing.T, f *fleet) {
+		f.nodes[0].table.freeze = time.Minute
+		frozen := make(chan error, 1)
+		late, early := f.change(modelDoc("m", 1, 1)), f.change(modelDoc("m", 2, 1))
+		go func() {
+			_, err := f.nodes[0].Apply(background, late)
+			frozen <- err
+		}()
+		time.Sleep(time.Second)
+		result, err := f.nodes[1].Apply(background, early)
+		require.NoError(t, err)
+		var conflict *ConflictError
+		require.ErrorAs(t, <-frozen, &conflict)
+		for _, n := range f.nodes {
+			assert.Equal(t, result.Revision, n.Snapshot().Revision)
+			assert.Equal(t, settings.MicroUnits(2), n.Snapshot().Tree.Models["m"].Versions["v1"].InputCost)
+		}
+	})
+}
+
 func TestLostAnswerIsSettledByTheChangeID(t *testing.T) {
 	inBubble(t, 3, func(t *testing.T, f *fleet) {
 		f.table.SetFaults(memtable.Faults{LoseAnswers: true})
--- a/internal/configsync/fleet_test.go
+++ b/internal/configsync/fleet_test.go
@@ -21,12 +21,18 @@
 type reachable struct {
 	platform.Table
 	cut atomic.Bool
+	// freeze is for how long the instance stands still before a commit leaves it.
+	freeze time.Duration
 }
 
 func (r *reachable) Commit(ctx context.Context, txn platform.Txn) platform.Result {
 	if r.cut.Load() {
 		return platform.Result{Outcome: platform.OutcomeNotApplied}
 	}
+	if r.freeze > 0 {
+		time.Sleep(r.freeze)
+		ctx = context.WithoutCancel(ctx)
+	}
 	return r.Table.Commit(ctx, txn)
 }
 
