--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -104,6 +104,8 @@
 	p.grant = grant
 	if refusal := p.choose(ctx, verdict); refusal != nil {
 		grant.Release(0)
+		// This gives back the slot that a suspect may have taken.
+		w.r.gateway.Suspects.End(p.id, false)
 		p.record.Outcome = string(refusal.Code)
 		return nil, refusal
 	}
@@ -168,7 +170,11 @@
 	if !verdict.Suspect {
 		return nil
 	}
-	return p.isolate(ctx)
+	if refusal := p.isolate(ctx); refusal != nil {
+		return refusal
+	}
+	// Isolating may have taken seconds.
+	return p.work.permit()
 }
 
 func (p *placement) pick(excluded []string) (*datastore.Server, *apierror.Error) {
@@ -199,7 +205,7 @@
 	g := p.work.r.gateway
 	candidates := []string{p.server.ID}
 	for _, c := range p.record.Candidates {
-		if c.Server != p.server.ID {
+		if c.Server != p.server.ID && c.Why.Eligible() {
 			candidates = append(candidates, c.Server)
 		}
 	}
@@ -225,8 +231,14 @@
 	w.r.fire(statechart.RequestSend)
 }
 
-// end gives back what the attempt held. Tokens are those really used.
-func (p *placement) end(err error, tokens int64) {
+// end gives back what the attempt held. Tokens are those really used. A crash is
+// told of first, while the attempt still counts as in flight on the server: it
+// may be the one that crashed it.
+func (p *placement) end(ctx context.Context, err error, tokens int64) {
+	var failure *backend.Error
+	if errors.As(err, &failure) && failure.Crashed {
+		p.work.r.gateway.Suspects.Broken(ctx, p.server, p.instance)
+	}
 	p.server.End(p.work.tokens)
 	p.work.r.gateway.Suspects.End(p.id, err == nil)
 	p.grant.Release(tokens)
