--- a/internal/scheduling/scheduling_test.go
+++ b/internal/scheduling/scheduling_test.go
@@ -18,8 +18,17 @@
 	testNow     = time.Unix(1_000, 0)
 )
 
-// newStore makes servers s0, s1, ... with the version loaded and no load.
+// newStore makes servers with the version loaded and no load.
 func newStore(n int, options ...datastore.Option) *datastore.Store {
+	store := newEmptyStore(n, options...)
+	for i := range n {
+		setStatus(store, i, datastore.Status{ReportedAt: testNow})
+	}
+	return store
+}
+
+// newEmptyStore makes servers that reported nothing yet.
+func newEmptyStore(n int, options ...datastore.Option) *datastore.Store {
 	tree := settings.Tree{Servers: map[string]settings.Server{}}
 	for i := range n {
 		domain := []string{"a", "b"}[i%2]
@@ -27,9 +36,6 @@
 	}
 	store := datastore.New(options...)
 	store.SetSettings(settings.Compile(1, tree))
-	for i := range n {
-		setStatus(store, i, datastore.Status{ReportedAt: testNow})
-	}
 	return store
 }
 
@@ -212,7 +218,7 @@
 	const servers, size, entries = 1_000, 64, 200
 	subsetOf := func(entry string, n int) map[string]bool {
 		ids := make(map[string]bool)
-		for _, server := range newStore(n, datastore.WithSubset(entry, size)).Snapshot().Watched() {
+		for _, server := range newEmptyStore(n, datastore.WithSubset(entry, size)).Snapshot().Watched() {
 			ids[server.ID] = true
 		}
 		return ids
