--- a/internal/entry/golden_test.go
+++ b/internal/entry/golden_test.go
@@ -17,7 +17,11 @@
 
 	"github.com/basilrail/basilrail/internal/billing"
 	"github.com/basilrail/basilrail/internal/gateway"
+	"github.com/basilrail/basilrail/internal/platform/memtable"
 	"github.com/basilrail/basilrail/internal/settings"
+	"github.com/basilrail/basilrail/internal/standin/booking"
+	"github.com/basilrail/basilrail/internal/standin/engine"
+	"github.com/basilrail/basilrail/internal/standin/platformserver"
 )
 
 // transcript writes down a session: each exchange, the hops of its spans, the
@@ -179,3 +183,38 @@
 		s.exchange("A new session, entry 3", f.chat(2, shopA, "auto", "Pine table", task("describe")...))
 	})
 }
+
+// TestGoldenBadDay has the table service out, answers lost, streams cut and a
+// version withdrawn meanwhile.
+func TestGoldenBadDay(t *testing.T) {
+	golden(t, "bad-day", func(f *fleet, s *transcript) {
+		book := func(n int, key string) reply {
+			return f.call(n, shopA, http.MethodPost, "/v1/services/booking/bookings", `{"van":"2"}`, gateway.HeaderIdempotencyKey, key)
+		}
+		f.setFaults(engine.Faults{CutAfterChunks: 6})
+		s.exchange("A stream that the engine cuts", f.streamChat(0, shopA, "planner@v1", "Plan for six chairs"))
+		f.setFaults(engine.Faults{WrongAttemptID: true})
+		s.exchange("An answer under another attempt's id", f.chat(1, shopA, "planner@v1", "Plan for a sofa"))
+		f.setFaults(engine.Faults{})
+		time.Sleep(settleTime)
+
+		f.setBookingFaults(booking.Faults{CrashAfterExecute: true})
+		s.exchange("A booking whose answer is lost", book(0, "pickup-2"))
+		f.setBookingFaults(booking.Faults{})
+		time.Sleep(settleTime)
+		s.exchange("The same booking, at another entry instance", book(1, "pickup-2"))
+
+		f.platform.SetFaults(platformserver.Faults{Table: memtable.Faults{Down: true}})
+		s.exchange("A booking while the table service is out", book(2, "pickup-3"))
+		s.exchange("A chat while the table service is out", f.chat(2, shopA, "planner@v1", "Plan for a bed"))
+		f.platform.SetFaults(platformserver.Faults{})
+		time.Sleep(settleTime)
+		s.exchange("The same booking when it is back", book(2, "pickup-3"))
+	})
+}
+
+func (f *fleet) setBookingFaults(faults booking.Faults) {
+	for _, b := range f.bookings {
+		b.SetFaults(faults)
+	}
+}
