--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -21,10 +21,12 @@
 // Settings is what the API needs of configsync.Syncer.
 type Settings interface {
 	Snapshot() *settings.Snapshot
+	Document(path string) (doc settings.Document, ok bool)
 	Documents(subtree string) ([]settings.Document, uint64)
 	Check(docs []settings.Document) findings.List
 	ApplyIf(ctx context.Context, change settings.Change, allowed func(*settings.Snapshot) error) (configsync.ApplyResult, error)
 	Status(ctx context.Context) []configsync.InstanceStatus
+	Refresh(ctx context.Context) error
 	Vouch() (ok bool, reason string, retryAfter time.Duration)
 }
 
--- /dev/null
+++ b/internal/configsync/fuzz_test.go
@@ -0,0 +1,44 @@
+package configsync
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/basilrail/basilrail/internal/peers"
+	"github.com/basilrail/basilrail/internal/peers/membus"
+	"github.com/basilrail/basilrail/internal/platform/memtable"
+	"github.com/basilrail/basilrail/internal/settings"
+)
+
+// FuzzPeerMessages feeds a peer's messages and replies to an instance. None may
+// make it panic or put an invalid tree in force.
+func FuzzPeerMessages(f *testing.F) {
+	entry := logEntry{Revision: 1, ChangeID: "c", Documents: baseDocs()}
+	f.Add(encode(hintMessage{Revision: 3}))
+	f.Add(encode(fetchRequest{Since: 1, Whole: true, After: "/models", Heard: true}))
+	f.Add(encode(intentMessage{ChangeID: "c"}))
+	f.Add(encode(fetchReply{Revision: 1, Loaded: true, Entries: []logEntry{entry}, Heard: []heardInstance{{IDHash: 1, AgeMillis: -5}}}))
+	f.Add(encode(fetchReply{Revision: 9, Loaded: true, Documents: []settings.Document{{Path: "/fleet"}}, FreshMillis: 1 << 62}))
+	f.Fuzz(func(t *testing.T, body []byte) {
+		network := membus.New()
+		network.Join("peer", "h")
+		s := New(Options{Table: memtable.New(), Bus: network.Join("entry-0", "h"), Rand: rand.New(rand.NewPCG(1, 1))})
+		msg := peers.Message{From: "peer", Body: body}
+		_, _ = s.handleHint(t.Context(), msg)
+		_, _ = s.handleFetch(t.Context(), msg)
+		_, _ = s.handleIntent(t.Context(), msg)
+		var reply fetchReply
+		if decodeMessage(body, &reply) != nil {
+			return
+		}
+		if reply.Revision > 0 {
+			s.takeFrom(t.Context(), "peer", fetchRequest{}, reply)
+		}
+		s.takeAges("peer", time.Now(), reply)
+		docs, _ := s.Documents("/")
+		if _, list := settings.Parse(docs); list.Err() != nil {
+			t.Errorf("an invalid tree is in force: %v", list)
+		}
+	})
+}
--- a/internal/configsync/poll.go
+++ b/internal/configsync/poll.go
@@ -65,12 +65,19 @@
 
 // poll reads what was committed since the state in force.
 func (s *Syncer) poll(ctx context.Context) {
+	// A failure is noted, and mended by a later poll.
+	_ = s.Refresh(ctx)
+}
+
+// Refresh reads what was committed up to now. Errors wrap platform.ErrUnavailable
+// if the store can't be reached.
+func (s *Syncer) Refresh(ctx context.Context) error {
 	start := time.Now()
 	err := s.catchUp(ctx)
-	if ctx.Err() != nil {
-		return
+	if ctx.Err() == nil {
+		s.noteRead(start, err)
 	}
-	s.noteRead(start, err)
+	return err
 }
 
 // noteRead records what a read that began at start tells of the store and of
