Make a span of each store call and peer question that a request waits for

Background loops get none: batched commits serve many requests. The hand over of a bill to a peer is batched too and shows as the bill's span.

--- a/internal/entry/build.go
+++ b/internal/entry/build.go
@@ -60,7 +60,7 @@
 	if err := i.buildMesh(); err != nil {
 		return nil, err
 	}
-	if err := i.buildState(i.mesh); err != nil {
+	if err := i.buildState(tracedBus{Bus: i.mesh, tracer: o.Tracing.Tracer()}); err != nil {
 		return nil, err
 	}
 	i.buildDecisions(i.mesh)
@@ -139,11 +139,12 @@
 	i.commits = groupcommit.New(i.platform, i.relay.Budget)
 	i.relay.Bind(i.commits)
 	i.members.OnChange(i.setInstances)
-	i.claims = claim.New(i.relay, i.platform, i.log)
+	tracer := i.opts.Tracing.Tracer()
+	i.claims = claim.New(tracedCommits{i.relay, tracer}, tracedReads{i.platform, tracer}, i.log)
 	i.ledger = billing.New(billing.Config{
 		Bus:           bus,
 		FailureDomain: i.cfg.FailureDomain.Value,
-		Commits:       i.commits,
+		Commits:       tracedCommits{i.commits, tracer},
 		Reads:         i.platform,
 		Log:           i.log,
 	})
