Keep each instance to its slice of every server; tell a stream's cost

While all instances hear each other, each now keeps to its own part of every server; otherwise only to its window. Demand is told when it changed. An answer too large to be kept under its key is told as such.

--- a/internal/apierror/apierror.go
+++ b/internal/apierror/apierror.go
@@ -40,6 +40,7 @@
 	CodeKeyMissing       Code = "idempotency_key_missing"
 	CodeKeyReused        Code = "idempotency_key_reused"
 	CodeInProgress       Code = "in_progress"
+	CodeAnswerNotKept    Code = "answer_not_kept"
 	CodeTooLarge         Code = "too_large"
 	CodeRateLimited      Code = "rate_limited"
 	CodeOverloaded       Code = "overloaded"
--- a/internal/entry/adapters.go
+++ b/internal/entry/adapters.go
@@ -21,11 +21,7 @@
 
 // Document returns the newest text known of a path.
 func (a applier) Document(path string) (settings.Document, bool) {
-	docs, _ := a.syncer.Documents(path)
-	if len(docs) == 0 || docs[0].Path != path {
-		return settings.Document{}, false
-	}
-	return docs[0], true
+	return a.syncer.Document(path)
 }
 
 // Apply commits a change and tells only its outcome.
--- a/internal/entry/build.go
+++ b/internal/entry/build.go
@@ -129,11 +129,12 @@
 	}, i.newRand(), i.log)
 	i.data = datastore.New(datastore.WithSubset(i.cfg.Instance.Value, subsetSize))
 	i.syncer = configsync.New(configsync.Options{
-		Table:    i.platform,
-		Bus:      bus,
-		Rand:     i.newRand(),
-		Log:      i.log,
-		OnChange: i.applySettings,
+		Table:         i.platform,
+		Bus:           bus,
+		FailureDomain: i.cfg.FailureDomain.Value,
+		Rand:          i.newRand(),
+		Log:           i.log,
+		OnChange:      i.applySettings,
 	})
 	i.relay = commitrelay.New(bus, fleetCommitsPerSecond)
 	i.commits = groupcommit.New(i.platform, i.relay.Budget)
@@ -163,6 +164,7 @@
 // applySettings puts a revision in force on the data path.
 func (i *Instance) applySettings(s *settings.Snapshot) {
 	i.data.SetSettings(s)
+	i.planner.Forget(s)
 }
 
 // buildDecisions makes what chooses, learns and protects.
--- a/internal/entry/windows.go
+++ b/internal/entry/windows.go
@@ -11,6 +11,8 @@
 	"github.com/basilrail/basilrail/internal/datastore"
 	"github.com/basilrail/basilrail/internal/flowcontrol"
 	"github.com/basilrail/basilrail/internal/peers"
+	"github.com/basilrail/basilrail/internal/scheduling"
+	"github.com/basilrail/basilrail/internal/settings"
 )
 
 // windowInterval is the time between two settings of the windows.
@@ -23,6 +25,8 @@
 	data   *datastore.Store
 	admit  *flowcontrol.Controller
 	shares *flowcontrol.Shares
+	// changes decides when the demand is worth a message.
+	changes flowcontrol.Changes
 }
 
 func newWindows(bus peers.Bus, data *datastore.Store, admit *flowcontrol.Controller) *windows {
@@ -49,7 +53,7 @@
 func (w *windows) tick() {
 	demand := w.admit.Demand()
 	w.shares.Hear(time.Now(), w.bus.Self(), demand)
-	if len(demand.Pools) > 0 {
+	if w.changes.ShouldTell(time.Now(), demand) {
 		w.bus.Broadcast(peers.KindDemand, demand)
 	}
 	w.set(demand.Requests())
@@ -61,9 +65,33 @@
 func (w *windows) set(demand map[string]float64) {
 	now := time.Now()
 	part := w.neighbourhood()
-	for pool, capacity := range flowcontrol.Capacities(serverPools(w.data.Snapshot()), demand) {
-		w.admit.SetWindow(pool, w.shares.Window(now, w.bus.Self(), pool, capacity*part))
+	snap := w.data.Snapshot()
+	for pool, capacity := range flowcontrol.Capacities(serverPools(snap), demand) {
+		if part < 1 {
+			w.admit.SetWindow(pool, w.shares.Window(now, w.bus.Self(), pool, capacity*part))
+			continue
+		}
+		w.admit.SetShare(pool, w.slice(now, snap, pool, capacity))
+	}
+}
+
+// slice is this instance's own part of every server of a pool. All instances
+// must hear each other to agree on the parts.
+func (w *windows) slice(now time.Time, snap *datastore.Snapshot, pool string, capacity float64) flowcontrol.Share {
+	share := w.shares.Share(now, w.bus.Self(), pool, capacity)
+	part := scheduling.Slice{From: share.From, To: share.To}
+	if places := part.Places(serversOf(snap, pool)); places > 0 {
+		share.Window = min(share.Window, float64(places))
+	}
+	return share
+}
+
+// serversOf lists the servers of a pool.
+func serversOf(snap *datastore.Snapshot, pool string) []*datastore.Server {
+	if ref, ok := settings.ParseVersionRef(pool); ok {
+		return snap.ForVersion(ref)
 	}
+	return snap.ForService(pool)
 }
 
 // neighbourhood is the part of the fleet that hears this instance's demand: all
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -185,6 +185,7 @@
 		Tokens:        p.work.tokens,
 		PrefixHash:    p.work.prefix,
 		Excluded:      excluded,
+		Slice:         scheduling.Slice{From: p.grant.Share.From, To: p.grant.Share.To},
 		FailureDomain: g.FailureDomain,
 		Now:           time.Now(),
 	}, g.random())
--- a/internal/gateway/service.go
+++ b/internal/gateway/service.go
@@ -138,8 +138,14 @@
 	return len(servers) > 0
 }
 
-// replay gives the recorded outcome of an earlier request.
+// replay gives the recorded outcome of an earlier request. Of an answer too large
+// to be kept it tells only that the request ran.
 func (s *serviceCall) replay(outcome *claim.Outcome) *apierror.Error {
+	if outcome.BodyOmitted() {
+		return apierror.New(http.StatusConflict, apierror.CodeAnswerNotKept,
+			"request %s ran with this key and answered status %d; its answer was too large to be kept", outcome.RequestID, outcome.Status).
+			WithRan(apierror.DidRun)
+	}
 	s.w.Header().Set(HeaderReplayed, "true")
 	s.write(outcome.Status, outcome.Header, outcome.Body)
 	return nil
--- a/internal/gateway/sse.go
+++ b/internal/gateway/sse.go
@@ -8,6 +8,7 @@
 
 	"github.com/basilrail/basilrail/internal/apierror"
 	"github.com/basilrail/basilrail/internal/backend"
+	"github.com/basilrail/basilrail/internal/settings"
 )
 
 // completionBody is a whole answer as callers see it.
@@ -26,6 +27,8 @@
 	Model   string            `json:"model"`
 	Choices []json.RawMessage `json:"choices"`
 	Usage   *backend.Usage    `json:"usage,omitempty"`
+	// Cost stands in the closing event: the bill's total in micro-units.
+	Cost *settings.MicroUnits `json:"cost_micro_units,omitempty"`
 }
 
 // eventWriter writes server-sent events to a caller.
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -232,6 +232,9 @@
 	if closing != nil {
 		end.Choices = closing.Choices
 	}
+	if c.record.Bill != nil {
+		end.Cost = &c.record.Bill.Total
+	}
 	// The caller may be gone; the answer was given and billed.
 	if out.send(end) == nil {
 		_ = out.done()
