Bound the wait of an answer for its bill

Cause: an answer waited without limit for its bill to be durable, so a request in flight on an instance that lost store and peers was never answered. Found when the cut-off test, run without vouching, hung for ten minutes. Ruled out: the mesh's redialing (bounded waits). Before: TestAnswerDoesNotWaitForeverForItsBill printed 'no answer within a minute'. Now the answer comes after 5 s at the most and the bill is stored once after the cut.

--- a/internal/entry/recovery_test.go
+++ b/internal/entry/recovery_test.go
@@ -134,6 +134,35 @@
 	})
 }
 
+// A request in flight while its instance is cut off from store and peers gets
+// its answer, although nobody can take the bill yet; the bill is stored later.
+func TestAnswerDoesNotWaitForeverForItsBill(t *testing.T) {
+	inFleet(t, 3, func(f *fleet) {
+		f.setFaults(engine.Faults{SlowMillis: 500})
+		var got reply
+		var calls sync.WaitGroup
+		calls.Go(func() { got = f.chat(0, shopA, "writer", "oak wardrobe", gateway.HeaderDeadline, "60000") })
+		time.Sleep(time.Second)
+		f.entries[0].wire.cutOff()
+		answered := make(chan struct{})
+		go func() {
+			calls.Wait()
+			close(answered)
+		}()
+		select {
+		case <-answered:
+		case <-time.After(time.Minute):
+			assert.Fail(t, "no answer within a minute")
+		}
+		f.entries[0].wire.mend()
+		<-answered
+		assert.Equal(t, http.StatusOK, got.status, string(got.body))
+		time.Sleep(flushTime)
+		count, _ := bills(f.stored())
+		assert.Equal(t, 1, count)
+	})
+}
+
 // One content crashes every engine that runs it and is sent again and again,
 // to every instance, among innocent requests.
 func TestCrashingContentCostsTwoServers(t *testing.T) {
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -248,5 +248,11 @@
 	}
 	r.record.Bill = &rec
 	// The bill is owed also when the caller has gone.
-	return r.gateway.Bills.Record(context.WithoutCancel(ctx), rec)
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), billWait)
+	defer cancel()
+	return r.gateway.Bills.Record(ctx, rec)
 }
+
+// billWait bounds how long an answer waits for its bill where neither a peer nor
+// the store takes it. The ledger keeps the bill, and refuses new work meanwhile.
+const billWait = 5 * time.Second
