--- a/internal/capacity/servers.go
+++ b/internal/capacity/servers.go
@@ -35,7 +35,7 @@
 	// Pick is the time to choose a server.
 	Pick time.Duration
 	// HeapBytes is what the servers take, settings included.
-	HeapBytes uint64
+	HeapBytes int64
 }
 
 // MeasureServers measures one instance before each number of servers.
@@ -86,12 +86,16 @@
 	return time.Since(started) / time.Duration(calls)
 }
 
-// heap is the memory in use after a collection, in bytes.
-func heap() uint64 {
-	runtime.GC()
+// heap is the memory in use after collections, in bytes. One collection leaves
+// what only finalizers still hold.
+func heap() int64 {
+	const collections = 3
+	for range collections {
+		runtime.GC()
+	}
 	var m runtime.MemStats
 	runtime.ReadMemStats(&m)
-	return m.HeapAlloc
+	return int64(m.HeapAlloc)
 }
 
 func serverTree(size int) settings.Tree {
