--- a/internal/configsync/apply.go
+++ b/internal/configsync/apply.go
@@ -13,6 +13,7 @@
 	"github.com/basilrail/basilrail/internal/findings"
 	"github.com/basilrail/basilrail/internal/platform"
 	"github.com/basilrail/basilrail/internal/settings"
+	"github.com/basilrail/basilrail/internal/wait"
 )
 
 // The bounds of a change.
@@ -165,7 +166,7 @@
 		if !errors.Is(err, errRetry) {
 			return result, err
 		}
-		if !sleep(ctx, delay) {
+		if wait.For(ctx, delay) != nil {
 			break
 		}
 		delay = min(2*delay, longestRetryDelay)
@@ -446,13 +447,3 @@
 }
 
 // sleep waits; it is false if the context ended first.
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/configsync/exchange.go
+++ b/internal/configsync/exchange.go
@@ -11,6 +11,7 @@
 	"github.com/basilrail/basilrail/internal/events"
 	"github.com/basilrail/basilrail/internal/peers"
 	"github.com/basilrail/basilrail/internal/settings"
+	"github.com/basilrail/basilrail/internal/wait"
 )
 
 // The pace and size of exchanges between instances.
@@ -118,7 +119,7 @@
 	asking := new(errgroup.Group)
 	asking.SetLimit(maxAsked)
 	defer func() { _ = asking.Wait() }()
-	if !sleep(ctx, s.exchangePhase()) {
+	if wait.For(ctx, s.exchangePhase()) != nil {
 		return
 	}
 	ticker := time.NewTicker(exchangeInterval / outageExchangePeers)
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -12,6 +12,7 @@
 	"github.com/basilrail/basilrail/internal/statechart"
 	"github.com/basilrail/basilrail/internal/staticconfig"
 	"github.com/basilrail/basilrail/internal/tlsreload"
+	"github.com/basilrail/basilrail/internal/wait"
 	"github.com/go-chi/chi/v5"
 )
 
@@ -155,7 +156,8 @@
 	i.log.Log(events.ProcessDraining, events.Fields{})
 	// A list that can't be reached forgets the instance by itself.
 	_ = i.members.SetLeaving(ctx)
-	sleep(ctx, i.cfg.DrainWait.Value)
+	// Nothing ends this context while the instance leaves.
+	_ = wait.For(ctx, i.cfg.DrainWait.Value)
 	i.life.closed.Store(true)
 	i.finishRequests(ctx)
 	ctx, cancel := context.WithTimeout(ctx, closeTimeout)
@@ -184,12 +186,3 @@
 	case <-ctx.Done():
 	}
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -149,12 +149,16 @@
 	return int(flowcontrol.PriorityLow - grant.Priority)
 }
 
+// statusCallerGone is the status in the records of requests whose caller left;
+// nobody receives it.
+const statusCallerGone = 499
+
 // gaveUp is the refusal for work that its context ended.
 func gaveUp(ctx context.Context) *apierror.Error {
 	if errors.Is(context.Cause(ctx), context.DeadlineExceeded) {
 		return apierror.New(http.StatusGatewayTimeout, apierror.CodeDeadline, "the deadline passed").Retry(failureRetry)
 	}
-	return apierror.New(499, apierror.CodeInterrupted, "the caller went away")
+	return apierror.New(statusCallerGone, apierror.CodeInterrupted, "the caller went away")
 }
 
 // choose checks the permission a last time and picks the server.
--- a/internal/gateway/chat.go
+++ b/internal/gateway/chat.go
@@ -21,9 +21,6 @@
 // prefixBytes is how much of a prompt decides its prefix affinity.
 const prefixBytes = 1 << 10
 
-// ledgerFullRetry is when to come back while bills can't be stored.
-const ledgerFullRetry = 5 * time.Second
-
 // chat is one chat completion on its way.
 type chat struct {
 	*request
@@ -44,12 +41,9 @@
 	if refusal != nil {
 		return refusal
 	}
-	r.fire(statechart.RequestClassify)
-	if err := g.Bills.Admit(); err != nil {
-		return ledgerFull()
+	if refusal := r.admit(); refusal != nil {
+		return refusal
 	}
-	g.Retries.Request()
-	r.fire(statechart.RequestAdmit)
 	if refusal := c.makePlan(); refusal != nil {
 		return refusal
 	}
@@ -57,10 +51,6 @@
 	return c.run(ctx)
 }
 
-func ledgerFull() *apierror.Error {
-	return apierror.New(http.StatusServiceUnavailable, apierror.CodeStoreUnavailable, "bills can't be stored now").Retry(ledgerFullRetry)
-}
-
 // classify reads the request's body, task and session.
 func (g *Gateway) classify(r *request) (*chat, *apierror.Error) {
 	req, faults := parseChatRequest(r.body)
--- a/internal/gateway/failure.go
+++ b/internal/gateway/failure.go
@@ -11,6 +11,7 @@
 	"github.com/basilrail/basilrail/internal/backend"
 	"github.com/basilrail/basilrail/internal/retry"
 	"github.com/basilrail/basilrail/internal/statechart"
+	"github.com/basilrail/basilrail/internal/wait"
 )
 
 // failed takes in a failed attempt; it returns nil when the work may be tried again.
@@ -119,12 +120,8 @@
 }
 
 func (w *work) pause(ctx context.Context, delay time.Duration) *apierror.Error {
-	timer := time.NewTimer(delay)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
+	if wait.For(ctx, delay) != nil {
 		return gaveUp(ctx).WithRan(w.r.ran)
 	}
+	return nil
 }
--- a/internal/gateway/limits.go
+++ b/internal/gateway/limits.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"net/http"
 	"sync"
 	"time"
 
@@ -40,7 +41,7 @@
 	defer t.mu.Unlock()
 	use := t.of(view)
 	if use.inFlight >= connections {
-		return nil, apierror.New(429, apierror.CodeRateLimited, "too many requests in flight for this client account").
+		return nil, apierror.New(http.StatusTooManyRequests, apierror.CodeRateLimited, "too many requests in flight for this client account").
 			Retry(tooManyConnectionsRetry)
 	}
 	if refusal := use.takeRate(view.Account.Limits.RequestsPerSecond); refusal != nil {
@@ -76,7 +77,7 @@
 	reservation := u.limiter.Reserve()
 	if wait := reservation.Delay(); wait > 0 {
 		reservation.Cancel()
-		return apierror.New(429, apierror.CodeRateLimited, "the client account's request rate is used up").Retry(wait)
+		return apierror.New(http.StatusTooManyRequests, apierror.CodeRateLimited, "the client account's request rate is used up").Retry(wait)
 	}
 	return nil
 }
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -149,6 +149,20 @@
 	return budget, nil
 }
 
+// storeRetry is when to come back while the table service is out.
+const storeRetry = 5 * time.Second
+
+// admit takes in a classified request, if its bill will find room.
+func (r *request) admit() *apierror.Error {
+	r.fire(statechart.RequestClassify)
+	if err := r.gateway.Bills.Admit(); err != nil {
+		return apierror.New(http.StatusServiceUnavailable, apierror.CodeStoreUnavailable, "bills can't be stored now").Retry(storeRetry)
+	}
+	r.gateway.Retries.Request()
+	r.fire(statechart.RequestAdmit)
+	return nil
+}
+
 // fire moves the request through its life. A step out of order is a fault of
 // this program: it is logged and counted, and the request goes on.
 func (r *request) fire(e statechart.Event) {
--- a/internal/gateway/service.go
+++ b/internal/gateway/service.go
@@ -46,12 +46,9 @@
 	if refusal != nil {
 		return refusal
 	}
-	r.fire(statechart.RequestClassify)
-	if err := g.Bills.Admit(); err != nil {
-		return ledgerFull()
+	if refusal := r.admit(); refusal != nil {
+		return refusal
 	}
-	g.Retries.Request()
-	r.fire(statechart.RequestAdmit)
 	r.fire(statechart.RequestPlan)
 	ctx, cancel := context.WithDeadlineCause(ctx, r.deadline, context.DeadlineExceeded)
 	defer cancel()
@@ -113,7 +110,7 @@
 		return s.run(ctx)
 	}
 	return apierror.New(http.StatusServiceUnavailable, apierror.CodeStoreUnavailable,
-		"the call can't be claimed now").Retry(ledgerFullRetry)
+		"the call can't be claimed now").Retry(storeRetry)
 }
 
 func (s *serviceCall) acquire(ctx context.Context) claim.Result {
--- a/internal/standin/booking/booking.go
+++ b/internal/standin/booking/booking.go
@@ -15,6 +15,7 @@
 	"github.com/go-chi/chi/v5"
 
 	"github.com/basilrail/basilrail/internal/standin"
+	"github.com/basilrail/basilrail/internal/wait"
 )
 
 const maxBodyBytes = 1 << 20
@@ -106,7 +107,7 @@
 // delay spends the time of a call; false when the caller is gone.
 func (s *Service) delay(r *http.Request) bool {
 	slow := time.Duration(s.faults.Get().SlowMillis) * time.Millisecond
-	return standin.Sleep(r.Context(), s.cfg.Time+slow) == nil
+	return wait.For(r.Context(), s.cfg.Time+slow) == nil
 }
 
 func (s *Service) book(w http.ResponseWriter, r *http.Request) {
--- a/internal/standin/command/caller.go
+++ b/internal/standin/command/caller.go
@@ -10,9 +10,9 @@
 	"github.com/alecthomas/kong"
 	"github.com/pkg/errors"
 
-	"github.com/basilrail/basilrail/internal/standin"
 	"github.com/basilrail/basilrail/internal/standin/caller"
 	"github.com/basilrail/basilrail/internal/standin/engine"
+	"github.com/basilrail/basilrail/internal/wait"
 )
 
 const (
@@ -116,7 +116,7 @@
 	defer cancel()
 	for _, url := range c.URLs {
 		for !answers(ctx, url) {
-			if standin.Sleep(ctx, pollInterval) != nil {
+			if wait.For(ctx, pollInterval) != nil {
 				return errors.Errorf("%s did not answer 200 within %s", url, c.Timeout)
 			}
 		}
--- a/internal/standin/engine/chat.go
+++ b/internal/standin/engine/chat.go
@@ -12,6 +12,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/basilrail/basilrail/internal/standin"
+	"github.com/basilrail/basilrail/internal/wait"
 )
 
 var errCrashed = errors.New("engine crashed")
@@ -136,7 +137,7 @@
 	if crash := work.faults.CrashOn; crash != "" && strings.Contains(work.prompt, crash) {
 		e.crashNow()
 	}
-	if standin.Sleep(ctx, e.cfg.FirstToken) != nil {
+	if wait.For(ctx, e.cfg.FirstToken) != nil {
 		abortIfCrashed(ctx)
 		return
 	}
@@ -165,7 +166,7 @@
 // generate spends the time of one token.
 func (e *Engine) generate(ctx context.Context, work *run) error {
 	slow := time.Duration(work.faults.SlowMillis) * time.Millisecond
-	if err := standin.Sleep(ctx, e.cfg.TokenTime+slow); err != nil {
+	if err := wait.For(ctx, e.cfg.TokenTime+slow); err != nil {
 		abortIfCrashed(ctx)
 		return err
 	}
--- a/internal/standin/engine/orders.go
+++ b/internal/standin/engine/orders.go
@@ -4,6 +4,7 @@
 	"net/http"
 
 	"github.com/basilrail/basilrail/internal/standin"
+	"github.com/basilrail/basilrail/internal/wait"
 )
 
 // order loads or unloads a version. An engine that checks fencing refuses a
@@ -23,7 +24,7 @@
 		standin.WriteJSON(w, http.StatusConflict, OrderReply{Fencing: highest})
 		return
 	}
-	if o.Action == ActionLoad && standin.Sleep(r.Context(), e.cfg.LoadTime) != nil {
+	if o.Action == ActionLoad && wait.For(r.Context(), e.cfg.LoadTime) != nil {
 		return
 	}
 	e.carryOut(o)
--- a/internal/standin/rater/rater.go
+++ b/internal/standin/rater/rater.go
@@ -13,6 +13,7 @@
 
 	"github.com/basilrail/basilrail/internal/standin"
 	"github.com/basilrail/basilrail/internal/standin/engine"
+	"github.com/basilrail/basilrail/internal/wait"
 )
 
 // Scores given to answers, 0 to 1.
@@ -97,7 +98,7 @@
 		return
 	}
 	slow := time.Duration(faults.SlowMillis) * time.Millisecond
-	if standin.Sleep(r.Context(), s.cfg.Time+slow) != nil {
+	if wait.For(r.Context(), s.cfg.Time+slow) != nil {
 		return
 	}
 	s.ratings.Add(1)
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -4,10 +4,8 @@
 package standin
 
 import (
-	"context"
 	"encoding/json"
 	"net/http"
-	"time"
 )
 
 // Headers that the stand-ins read and write.
@@ -78,18 +76,3 @@
 
 // Abort closes the connection without an answer, as a crashed process does.
 func Abort() { panic(http.ErrAbortHandler) }
-
-// Sleep waits for d or until the context ends.
-func Sleep(ctx context.Context, d time.Duration) error {
-	if d <= 0 {
-		return ctx.Err()
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
