Probe and order backend servers over TLS too

Cause: only attempts used the certificates for backend servers; probes and orders called them in plain text, so with those flags no server was ever seen well. Found reading the code; the new test is of the shared transport. A whole fleet with TLS to its backend servers was not run.

--- a/internal/backend/backend_test.go
+++ b/internal/backend/backend_test.go
@@ -26,7 +26,7 @@
 	server := httptest.NewServer(h)
 	t.Cleanup(server.Close)
 	address := strings.TrimPrefix(server.URL, "http://")
-	return NewClient(&http.Transport{}, "http", testAnswerLimit), serverAt(address)
+	return NewClient(&http.Transport{}, testAnswerLimit), serverAt(address)
 }
 
 func serverAt(address string) *datastore.Server {
@@ -107,7 +107,7 @@
 	address := listener.Addr().String()
 	listener.Close()
 
-	client := NewClient(&http.Transport{}, "http", testAnswerLimit)
+	client := NewClient(&http.Transport{}, testAnswerLimit)
 	_, err = client.Do(context.Background(), Call{AttemptID: "a1", Server: serverAt(address), Method: "POST", Path: "/x"})
 	var failure *Error
 	require.ErrorAs(t, err, &failure)
--- a/internal/backend/client.go
+++ b/internal/backend/client.go
@@ -42,22 +42,19 @@
 // Client sends attempts. It never sends a request twice by itself.
 type Client struct {
 	http *http.Client
-	// scheme is "http" or "https".
-	scheme string
 	// maxAnswer bounds a whole answer, in bytes.
 	maxAnswer int64
 }
 
-// NewClient makes a client over a transport. The transport's own retries are
+// NewClient makes a client over a transport, which decides about TLS. The transport's own retries are
 // kept off by sending bodies that it can't replay.
-func NewClient(transport http.RoundTripper, scheme string, maxAnswerBytes int64) *Client {
+func NewClient(transport http.RoundTripper, maxAnswerBytes int64) *Client {
 	return &Client{
 		http: &http.Client{
 			Transport: transport,
 			// A redirect would send the request a second time.
 			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 		},
-		scheme:    scheme,
 		maxAnswer: maxAnswerBytes,
 	}
 }
@@ -95,7 +92,7 @@
 }
 
 func (c *Client) newRequest(ctx context.Context, call Call) (*http.Request, error) {
-	url := c.scheme + "://" + call.Server.Settings.Address + call.Path
+	url := "http://" + call.Server.Settings.Address + call.Path
 	// net/http would resend a request that carries an Idempotency-Key after a
 	// connection broke, if it could read the body again. It can't rewind this one,
 	// and yet knows it to be in memory, so that header and body leave together.
--- a/internal/entry/build.go
+++ b/internal/entry/build.go
@@ -63,6 +63,9 @@
 	if err := i.buildState(tracedBus{Bus: i.mesh, tracer: o.Tracing.Tracer()}); err != nil {
 		return nil, err
 	}
+	if err := i.buildServerTransport(); err != nil {
+		return nil, err
+	}
 	i.buildDecisions(i.mesh)
 	i.metrics = metrics.New(i.metricSources())
 	if err := i.buildGateway(); err != nil {
@@ -171,7 +174,7 @@
 func (i *Instance) buildDecisions(bus peers.Bus) {
 	i.watcher = serverwatch.New(serverwatch.Options{
 		Store:  i.data,
-		Client: &http.Client{Transport: i.transport()},
+		Client: &http.Client{Transport: i.toServers},
 		Bus:    bus,
 		Chart:  i.charts.Server,
 		Rand:   i.newRand(),
@@ -180,7 +183,7 @@
 	i.orders = orders.New(orders.Options{
 		Table:     i.platform,
 		Store:     i.data,
-		Client:    &http.Client{Transport: i.transport()},
+		Client:    &http.Client{Transport: i.toServers},
 		Self:      i.cfg.Instance.Value,
 		FleetSize: func() int { return i.members.View().EntryCount() },
 		Rand:      i.newRand(),
@@ -211,11 +214,7 @@
 		return errors.Wrap(err, "session tokens")
 	}
 	i.life = newLifecycle(i.charts, i.syncer, i.log)
-	transport, err := i.clientTransport(i.cfg.ServersTLS)
-	if err != nil {
-		return errors.Wrap(err, "certificates for the backend servers")
-	}
-	i.backend = backend.NewClient(transport, i.serverScheme(), maxAnswerBytes)
+	i.backend = backend.NewClient(i.toServers, maxAnswerBytes)
 	i.gateway = gateway.New(gateway.Options{
 		Data:          i.data,
 		Backend:       i.backend,
@@ -244,14 +243,6 @@
 	return nil
 }
 
-// serverScheme is https where certificates for the backend servers are given.
-func (i *Instance) serverScheme() string {
-	if i.cfg.ServersTLS.CA.Value == "" {
-		return "http"
-	}
-	return "https"
-}
-
 func (i *Instance) ratingURL() string {
 	if i.cfg.RatingURL.Value == nil {
 		return ""
--- a/internal/entry/instance.go
+++ b/internal/entry/instance.go
@@ -80,6 +80,8 @@
 	gateway  *gateway.Gateway
 	life     *lifecycle
 
+	// toServers carries all calls of backend servers.
+	toServers  http.RoundTripper
 	servers    []*http.Server
 	transports []*http.Transport
 	loops      sync.WaitGroup
--- a/internal/entry/tls.go
+++ b/internal/entry/tls.go
@@ -52,3 +52,27 @@
 	}
 	return tls.NewListener(listener, reloader.ServerConfig()), nil
 }
+
+// secureScheme sends every request over TLS, whatever its URL says.
+type secureScheme struct{ http.RoundTripper }
+
+// RoundTrip sends a copy of the request with the scheme https.
+func (s secureScheme) RoundTrip(req *http.Request) (*http.Response, error) {
+	secure := req.Clone(req.Context())
+	secure.URL.Scheme = "https"
+	return s.RoundTripper.RoundTrip(secure)
+}
+
+// buildServerTransport makes the transport to the backend servers, which
+// attempts, probes and orders share.
+func (i *Instance) buildServerTransport() error {
+	transport, err := i.clientTransport(i.cfg.ServersTLS)
+	if err != nil {
+		return errors.Wrap(err, "certificates for the backend servers")
+	}
+	i.toServers = transport
+	if i.cfg.ServersTLS.CA.Value != "" {
+		i.toServers = secureScheme{transport}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/entry/tls_test.go
@@ -0,0 +1,25 @@
+package entry
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+// Probes and orders name no scheme of their own: with certificates for the
+// backend servers they must go over TLS as the attempts do.
+func TestEveryCallOfABackendServerGoesOverTLS(t *testing.T) {
+	server := httptest.NewTLSServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.WriteHeader(http.StatusNoContent)
+	}))
+	defer server.Close()
+	client := &http.Client{Transport: secureScheme{server.Client().Transport}}
+	resp, err := client.Get(strings.Replace(server.URL, "https://", "http://", 1) + "/status")
+	require.NoError(t, err)
+	defer resp.Body.Close()
+	assert.Equal(t, http.StatusNoContent, resp.StatusCode)
+}
