--- a/internal/entry/promises_test.go
+++ b/internal/entry/promises_test.go
@@ -19,6 +19,7 @@
 	"github.com/basilrail/basilrail/internal/settings"
 	"github.com/basilrail/basilrail/internal/standin/booking"
 	"github.com/basilrail/basilrail/internal/standin/engine"
+	"github.com/basilrail/basilrail/internal/standin/rater"
 )
 
 const shopA = "demo-ikoyi-shop-a"
@@ -139,6 +140,37 @@
 	})
 }
 
+// A cheap answer is being rated while the dear version is withdrawn: the
+// escalation must not reach it.
+func TestEscalationSeesTheWithdrawal(t *testing.T) {
+	inFleet(t, 1, func(f *fleet) {
+		f.setFaults(engine.Faults{BadRate: map[string]float64{"writer@v1": 1, "writer@v2": 1}})
+		f.rater.SetFaults(rater.Faults{SlowMillis: 2000})
+		var calls sync.WaitGroup
+		results := make([]reply, 10)
+		for i := range results {
+			calls.Go(func() {
+				results[i] = f.chat(0, shopA, "auto", fmt.Sprintf("wardrobe %d", i), gateway.HeaderTask, "describe")
+			})
+		}
+		time.Sleep(time.Second)
+		f.apply(0, f.edit("/models/planner", "output_cost: 2700", "output_cost: 2700\n    withdrawn: true"))
+		before := f.received()["planner@v1"]
+		require.Positive(t, f.received()["writer@v1"])
+		calls.Wait()
+		assert.Equal(t, before, f.received()["planner@v1"], "attempts on the withdrawn version")
+		refused := 0
+		for _, r := range results {
+			if refusal := r.refusal(); refusal != nil {
+				refused++
+				assert.Equal(t, apierror.CodeVersionWithdrawn, refusal.Code)
+				assert.Equal(t, apierror.DidRun, refusal.Ran, "the cheap version ran")
+			}
+		}
+		assert.Positive(t, refused)
+	})
+}
+
 // Entry instances keep nothing: settings, sessions and claims outlive them all.
 func TestNothingIsLostWithTheInstances(t *testing.T) {
 	inFleet(t, 2, func(f *fleet) {
