--- a/internal/ctl/commands.go
+++ b/internal/ctl/commands.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"encoding/json"
 	"fmt"
 	"io"
 	"net/url"
@@ -349,12 +348,7 @@
 	if err := r.client.get(r.ctx, adminapi.PathRequests+"/"+url.PathEscape(c.RequestID), nil, &explanation); err != nil {
 		return err
 	}
-	return r.print(explanation, func(w io.Writer) {
-		var record bytes.Buffer
-		// The record was decoded as JSON, so it is valid.
-		_ = json.Indent(&record, explanation.Record, "", "  ")
-		fmt.Fprintf(w, "client account %s\n%s\n", explanation.Account, record.String())
-	})
+	return r.print(explanation, func(w io.Writer) { writeExplanation(w, explanation) })
 }
 
 type billsCmd struct {
