Settle an unknown commit of bills by reading back

Cause: while the store loses every answer, a block of bills was committed and never known to be stored; the ledger tries the oldest block first, so the later ones waited for ever. Ruled out: the merged commits (claims were settled by reading back).

--- a/internal/billing/flush.go
+++ b/internal/billing/flush.go
@@ -59,7 +59,7 @@
 }
 
 func (l *Ledger) storeBlock(ctx context.Context, b *block) bool {
-	if !store(ctx, l.cfg.Commits, b.id.prefix()+ownerWriter, b.records) {
+	if !l.cfg.store(ctx, b.id.prefix()+ownerWriter, b.records) {
 		return false
 	}
 	l.markStored(b)
@@ -79,8 +79,8 @@
 }
 
 // store inserts a row. A row that stands already is the same one: its key
-// tells the writer and the contents.
-func store(ctx context.Context, commits Committer, key string, records []Record) bool {
+// tells the writer and the contents. A lost answer is settled by reading back.
+func (c Config) store(ctx context.Context, key string, records []Record) bool {
 	packed, err := pack(records)
 	if err != nil {
 		return false
@@ -91,11 +91,24 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, flushTimeout)
 	defer cancel()
-	result := commits.Commit(ctx, platform.Txn{
+	result := c.Commits.Commit(ctx, platform.Txn{
 		Conditions: []platform.Condition{{Key: key}},
 		Mutations:  []platform.Mutation{{Key: key, Value: value}},
 	})
-	return result.Outcome == platform.OutcomeCommitted || result.Outcome == platform.OutcomeConflict
+	switch result.Outcome {
+	case platform.OutcomeCommitted, platform.OutcomeConflict:
+		return true
+	case platform.OutcomeUnknown:
+		return c.isStored(ctx, key)
+	default:
+		return false
+	}
+}
+
+// isStored reads a row back.
+func (c Config) isStored(ctx context.Context, key string) bool {
+	rows, err := c.Reads.Scan(ctx, key, "", 1)
+	return err == nil && len(rows) == 1 && rows[0].Key == key
 }
 
 // markStored forgets a stored block and tells its holders.
--- a/internal/billing/holder.go
+++ b/internal/billing/holder.go
@@ -201,7 +201,7 @@
 
 func (h *holder) storePayloads(ctx context.Context, id blockID, payloads [][]byte) bool {
 	records, err := unpackAll(payloads)
-	if err != nil || !store(ctx, h.cfg.Commits, h.key(id, records), records) {
+	if err != nil || !h.cfg.store(ctx, h.key(id, records), records) {
 		return false
 	}
 	h.cfg.Log.Log(events.BillsFlushedForPeer, events.Fields{Peer: id.Instance, Count: len(records)})
--- a/internal/entry/recovery_test.go
+++ b/internal/entry/recovery_test.go
@@ -101,7 +101,12 @@
 func TestLostStoreAnswers(t *testing.T) {
 	inFleet(t, 3, func(f *fleet) {
 		f.platform.SetFaults(platformserver.Faults{Table: tableLosesAnswers()})
-		cost := f.answered(0, 10)
+		var cost settings.MicroUnits
+		for range 10 {
+			cost += f.answered(0, 1)
+			// Several blocks of bills are stored one after the other.
+			time.Sleep(700 * time.Millisecond)
+		}
 		for n := range f.entries {
 			got := f.call(n, shopA, http.MethodPost, "/v1/services/booking/bookings", "{}", gateway.HeaderIdempotencyKey, "k1")
 			assert.Equal(t, http.StatusCreated, got.status, string(got.body))
