--- a/Makefile
+++ b/Makefile
@@ -44,7 +44,9 @@
 capacity:
 	$(GO) run ./cmd/basilrail-capacity
 
-# soak runs the model-based test with fresh seeds; a failure prints its seed.
+# soak runs the model-based tests of settings and claims with fresh seeds; a
+# failure prints its seed.
 SOAK_CHECKS ?= 2000
 soak:
 	BASILRAIL_SOAK=1 $(GO) test -count=1 -run RandomInterleavings ./internal/configsync -rapid.checks=$(SOAK_CHECKS)
+	BASILRAIL_TEST_FIRST_SEED=$$(date +%s) $(GO) test -count=1 -run OneSend ./internal/claim
