Join a request's prompt once; name the price unit and the permission check once

Read through as a newcomer: the conversation was joined anew for each estimate, the number of tokens that costs are given for stood in two packages, and the check of a version in a session was spelled out three times. Behaviour is the same; no test or golden file changed.

--- a/internal/cascade/planner.go
+++ b/internal/cascade/planner.go
@@ -8,9 +8,6 @@
 	"github.com/basilrail/basilrail/internal/settings"
 )
 
-// tokensPerPrice is the number of tokens that a version's prices are for.
-const tokensPerPrice = 1_000
-
 // Query is one request to plan for.
 type Query struct {
 	Account settings.AccountID
@@ -74,7 +71,7 @@
 	version, _ := snap.Version(ref)
 	input := settings.MicroUnits(q.InputTokens) * version.InputCost
 	output := settings.MicroUnits(q.OutputTokens) * version.OutputCost
-	return (input + output) / tokensPerPrice
+	return (input + output) / settings.TokensPerPrice
 }
 
 func (p *Planner) ratingState(now time.Time) Rating {
--- a/internal/gateway/chat.go
+++ b/internal/gateway/chat.go
@@ -26,7 +26,6 @@
 	*request
 	req     *chatRequest
 	task    string
-	prompt  string
 	session session.Session
 	plan    []cascade.Step
 	// target is the fraction of answers that must be acceptable.
@@ -101,7 +100,7 @@
 
 func (c *chat) workFor(ref settings.VersionRef) *work {
 	input, output := c.req.estimate()
-	prefix := c.prompt
+	prefix := c.req.prompt
 	if len(prefix) > prefixBytes {
 		prefix = prefix[:prefixBytes]
 	}
@@ -110,7 +109,7 @@
 		version: ref,
 		tokens:  int64(input + output),
 		prefix:  xxhash.Sum64String(prefix),
-		content: quarantine.FingerprintOf([]byte(c.prompt)),
+		content: quarantine.FingerprintOf([]byte(c.req.prompt)),
 		// A chat changes nothing outside the engine.
 		idempotent: true,
 	}
@@ -175,9 +174,6 @@
 	}
 }
 
-// tokensPerPrice is the number of tokens that a version's costs are given for.
-const tokensPerPrice = 1000
-
 // costOf prices an attempt, rounded up to whole micro-units.
 func (c *chat) costOf(ref settings.VersionRef, usage backend.Usage) settings.MicroUnits {
 	version, ok := c.gateway.Data.Snapshot().Settings.Version(ref)
@@ -186,7 +182,7 @@
 	}
 	sum := version.InputCost*settings.MicroUnits(usage.PromptTokens) +
 		version.OutputCost*settings.MicroUnits(usage.CompletionTokens)
-	return (sum + tokensPerPrice - 1) / tokensPerPrice
+	return (sum + settings.TokensPerPrice - 1) / settings.TokensPerPrice
 }
 
 // settle pins the version, bills the answer and signs the session's token.
--- a/internal/gateway/chatplan.go
+++ b/internal/gateway/chatplan.go
@@ -18,7 +18,7 @@
 		refusal.Findings = faults
 		return nil, refusal
 	}
-	c := &chat{request: r, req: req, task: r.http.Header.Get(HeaderTask), prompt: req.prompt()}
+	c := &chat{request: r, req: req, task: r.http.Header.Get(HeaderTask)}
 	if c.task == "" {
 		c.task = settings.DefaultTask
 	}
@@ -115,7 +115,7 @@
 		if refusal := c.checkPin(ref); refusal != nil {
 			return tasks, nil, refusal
 		}
-		if (&work{r: c.request, version: ref}).permit() == nil {
+		if c.permit(ref) == nil {
 			refs = append(refs, ref)
 		}
 	}
@@ -134,7 +134,7 @@
 	if pin, ok := c.session.Pins[ref.Model]; ok && pin != ref.Version {
 		return ref, apierror.New(http.StatusConflict, apierror.CodeSessionInvalid, "the session keeps version %s of model %s", pin, ref.Model)
 	}
-	return ref, (&work{r: c.request, version: ref}).permit()
+	return ref, c.permit(ref)
 }
 
 // noVersion is the refusal where no version of the model that the caller asked
@@ -147,10 +147,15 @@
 		"no version of model %q takes new sessions now", c.req.model).Retry(noServerRetry)
 }
 
+// permit checks that the session may use a version now.
+func (c *chat) permit(ref settings.VersionRef) *apierror.Error {
+	return (&work{r: c.request, version: ref}).permit()
+}
+
 // checkPin refuses a session whose pinned version may no longer be used.
 func (c *chat) checkPin(ref settings.VersionRef) *apierror.Error {
 	if _, pinned := c.session.Pins[ref.Model]; !pinned {
 		return nil
 	}
-	return (&work{r: c.request, version: ref}).permit()
+	return c.permit(ref)
 }
--- a/internal/gateway/chatrequest.go
+++ b/internal/gateway/chatrequest.go
@@ -33,6 +33,8 @@
 	model    string
 	stream   bool
 	messages []chatMessage
+	// prompt is the conversation's text, for ratings, affinity and estimates.
+	prompt string
 	// maxTokens is the caller's bound on the answer, or zero.
 	maxTokens int
 }
@@ -50,6 +52,7 @@
 	req.decodeField(&faults, "messages", &req.messages)
 	req.decodeField(&faults, "max_tokens", &req.maxTokens)
 	req.check(&faults)
+	req.prompt = joinMessages(req.messages)
 	return req, faults
 }
 
@@ -77,10 +80,10 @@
 	}
 }
 
-// prompt is the conversation's text, for ratings and prefix affinity.
-func (r *chatRequest) prompt() string {
+// joinMessages renders a conversation as one text.
+func joinMessages(messages []chatMessage) string {
 	var b strings.Builder
-	for _, m := range r.messages {
+	for _, m := range messages {
 		b.WriteString(m.Role)
 		b.WriteString(": ")
 		b.Write(m.Content)
@@ -111,5 +114,5 @@
 	if output == 0 {
 		output = defaultOutputTokens
 	}
-	return len(r.prompt())/bytesPerToken + 1, output
+	return len(r.prompt)/bytesPerToken + 1, output
 }
--- a/internal/gateway/judge.go
+++ b/internal/gateway/judge.go
@@ -38,7 +38,7 @@
 		return 0, errNoRatingLeft
 	}
 	started := time.Now()
-	score, err := c.gateway.Rater.Rate(ctx, Rating{Task: c.task, Prompt: c.prompt, Answer: text, Version: ref})
+	score, err := c.gateway.Rater.Rate(ctx, Rating{Task: c.task, Prompt: c.req.prompt, Answer: text, Version: ref})
 	if err != nil {
 		c.gateway.Planner.RatingFailed(time.Now())
 		return 0, err
--- a/internal/settings/types.go
+++ b/internal/settings/types.go
@@ -84,9 +84,12 @@
 	Versions map[string]Version `yaml:"versions"`
 }
 
+// TokensPerPrice is the number of tokens that a version's costs are given for.
+const TokensPerPrice = 1000
+
 // Version is one version of a model.
 type Version struct {
-	// InputCost and OutputCost are in micro-units per 1,000 tokens.
+	// InputCost and OutputCost are in micro-units per TokensPerPrice tokens.
 	InputCost  MicroUnits `yaml:"input_cost"`
 	OutputCost MicroUnits `yaml:"output_cost"`
 	// Withdrawn versions receive no new work from any team.
