--- a/internal/upgrade/evidence.go
+++ b/internal/upgrade/evidence.go
@@ -63,6 +63,9 @@
 	Rows  []row  `cbor:"4,keyasint"`
 	// Bad tells that the sender knows the new release to be bad.
 	Bad bool `cbor:"5,keyasint"`
+	// Kept are sessions that the sender saw on the old release, of those that the
+	// hash would give the new one.
+	Kept []toldSession `cbor:"6,keyasint,omitempty"`
 }
 
 // reporter is one run of an instance.
@@ -176,6 +179,7 @@
 		return nil, nil
 	}
 	t.peers[reporter{instance: msg.From, epoch: m.Epoch}] = m.Rows
+	c.hear(current, m.Kept)
 	if m.Bad && !current.bad {
 		c.foundBad(current, "a peer found it bad")
 	}
--- a/internal/upgrade/step.go
+++ b/internal/upgrade/step.go
@@ -71,8 +71,9 @@
 	c.record(ctx, service)
 }
 
-// share tells the peers of this instance's evidence: of bad answers at once, of
-// good ones less often in a larger fleet, whose messages add up.
+// share tells the peers of this instance's evidence: of bad answers and of sessions
+// that stay on the old release at once, of good answers less often in a larger
+// fleet, whose messages add up.
 func (c *Controller) share(service string, epoch uint64) {
 	c.mu.Lock()
 	m := c.moves[service]
@@ -82,12 +83,13 @@
 	}
 	fleetGap := time.Duration(len(c.Bus.Peers())+1) * shareGap
 	bad := c.pool.badAnswers(m.order)
-	if time.Since(m.sharedAt) < fleetGap && bad == m.sharedBad && !m.bad {
+	if time.Since(m.sharedAt) < fleetGap && bad == m.sharedBad && !m.bad && !m.hasUntold {
 		c.mu.Unlock()
 		return
 	}
 	m.sharedAt, m.sharedBad = time.Now(), bad
 	message := c.pool.message(m.order, epoch, m.bad)
+	message.Kept = c.toldSessions(m)
 	c.mu.Unlock()
 	c.Bus.Broadcast(peers.KindUpgradeEvidence, message)
 }
--- a/internal/upgrade/upgrade.go
+++ b/internal/upgrade/upgrade.go
@@ -14,7 +14,6 @@
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	lru "github.com/hashicorp/golang-lru/v2"
 
 	"github.com/basilrail/basilrail/internal/dispatch"
@@ -103,7 +102,7 @@
 	mu      sync.Mutex
 	moves   map[string]*move
 	settled map[string]string
-	recent  *lru.Cache[string, sighting]
+	recent  *lru.Cache[sessionKey, sighting]
 	pool    *evidencePool
 	rates   map[string]*rate
 }
@@ -138,12 +137,17 @@
 	// answers that it told of.
 	sharedAt  time.Time
 	sharedBad uint64
+	// kept are sessions on the new release's side of the hash that this instance saw
+	// on the old one, and when; the peers are told of them.
+	kept map[sessionKey]time.Time
+	// hasUntold tells that a session was kept since this instance last told.
+	hasUntold bool
 }
 
 // New makes a Controller and registers its message handler.
 func New(o Options) *Controller {
 	// The only error is a size below one.
-	recent, _ := lru.New[string, sighting](recentSessions)
+	recent, _ := lru.New[sessionKey, sighting](recentSessions)
 	c := &Controller{
 		Options: o,
 		moves:   make(map[string]*move),
@@ -163,8 +167,10 @@
 	if m := c.moves[o.Service]; m != nil && m.order.Revision >= o.Revision {
 		return
 	}
-	c.moves[o.Service] = &move{order: o, machine: statechart.NewMachine(c.Chart)}
+	m := &move{order: o, machine: statechart.NewMachine(c.Chart), kept: make(map[sessionKey]time.Time)}
+	c.moves[o.Service] = m
 	c.pool.reset(o)
+	c.keepRunning(m)
 	c.Log.Log(events.UpgradeOrdered, events.Fields{Path: o.Service, Version: o.To, Revision: o.Revision, Duration: o.Duration})
 }
 
@@ -180,15 +186,17 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.countRequest(service)
-	release := c.release(service, session)
+	key := keyOf(service, session)
+	release := c.release(service, session, key)
 	if session != "" {
-		c.recent.Add(session, sighting{release: release, at: time.Now()})
+		c.recent.Add(key, sighting{release: release, at: time.Now()})
+		c.keep(c.moves[service], key, release)
 	}
 	return release
 }
 
 // release is the release for a request of a session. The caller holds the lock.
-func (c *Controller) release(service, session string) string {
+func (c *Controller) release(service, session string, key sessionKey) string {
 	m := c.moves[service]
 	if m == nil {
 		return c.settledRelease(service)
@@ -199,10 +207,10 @@
 		return old
 	case state == statechart.UpgradeCompleted:
 		return m.order.To
-	case !m.stored || !c.serves(service, m.order.To):
+	case !m.stored || !c.isTrialDue(m) || !c.serves(service, m.order.To):
 		return old
 	}
-	return c.side(m, session, old)
+	return c.side(m, session, key, old)
 }
 
 // countRequest measures how many requests of a service this instance gets.
@@ -246,26 +254,20 @@
 }
 
 // side decides on which release a session runs.
-func (c *Controller) side(m *move, session, old string) string {
-	seen, ok := c.recent.Get(session)
-	isRecent := session != "" && ok && time.Since(seen.at) < c.SessionGap+longestAnswer
+func (c *Controller) side(m *move, session string, key sessionKey, old string) string {
+	seen, ok := c.recent.Get(key)
+	isRecent := session != "" && ok && time.Since(seen.at) < c.memory()
 	switch {
 	case isRecent && seen.release == m.order.To:
 		return m.order.To
 	case isRecent && m.machine.State() == statechart.UpgradeObserving:
 		return old
-	case hashShare(m.order, session) < m.shareAt(c.progress(m)):
+	case hashShare(m.order, key) < m.shareAt(c.progress(m)):
 		return m.order.To
 	}
 	return old
 }
 
-// hashShare spreads sessions evenly between 0 and 1, the same on every instance.
-func hashShare(o Order, session string) float64 {
-	sum := xxhash.Sum64String(o.Service + "\x00" + o.To + "\x00" + session)
-	return float64(sum>>11) / (1 << 53)
-}
-
 // shareAt is the share of sessions on the new release, by the part of the time
 // that has passed.
 func (m *move) shareAt(progress float64) float64 {
