Explain a request of the users' platform from logs alone; check its settings file

Cause: instances there have no operators' API, so explain could not be asked; on-call read the lines by grep. The age of a configuration that was never confirmed was logged as the machine's uptime.

--- a/internal/ctl/commands.go
+++ b/internal/ctl/commands.go
@@ -339,11 +339,15 @@
 }
 
 type explainCmd struct {
-	RequestID string `arg:"" help:"Request id, as answered to the caller."`
+	RequestID string   `arg:"" help:"Request id, as answered to the caller."`
+	Logs      []string `type:"existingfile" placeholder:"FILE" help:"Tell it from these logs of instances, - for standard input; needs no entry instance."`
 }
 
 // Run explains a request.
 func (c *explainCmd) Run(r *run) error {
+	if len(c.Logs) > 0 {
+		return c.fromLogs(r)
+	}
 	var explanation adminapi.Explanation
 	if err := r.client.get(r.ctx, adminapi.PathRequests+"/"+url.PathEscape(c.RequestID), nil, &explanation); err != nil {
 		return err
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -45,8 +45,8 @@
 
 // Main runs the process until a signal ends it, and returns its exit code.
 func Main(args []string, out io.Writer) int {
-	if len(args) == 1 && args[0] == platformArgument {
-		return platform.Main(os.Stdout)
+	if len(args) > 0 && args[0] == platformArgument {
+		return platform.Main(args[1:], os.Stdout)
 	}
 	cfg, err := staticconfig.Parse(args)
 	if err != nil {
--- a/internal/dispatch/log.go
+++ b/internal/dispatch/log.go
@@ -50,7 +50,7 @@
 	}
 	if x.table != nil {
 		fields.Revision = x.table.Version()
-		fields.Age = x.d.Routing.Age()
+		fields.Age = x.d.Routing.KnownAge()
 	}
 	outcome := "answered"
 	if refusal != nil {
--- a/internal/routing/state.go
+++ b/internal/routing/state.go
@@ -50,6 +50,14 @@
 	return s.clock().Sub(bootclock.Time(s.current.Load()))
 }
 
+// KnownAge is Age for logs: zero while nothing was confirmed since the start.
+func (s *State) KnownAge() time.Duration {
+	if s.current.Load() == 0 {
+		return 0
+	}
+	return s.Age()
+}
+
 // Vouched reports whether keys of the table in force may be trusted: one that
 // was taken away meanwhile is known within the time that operators allow.
 func (s *State) Vouched() bool {
