--- a/internal/ctl/explainlogs.go
+++ b/internal/ctl/explainlogs.go
@@ -26,11 +26,23 @@
 	}
 	story := collector.Story()
 	if len(story.Tries) == 0 {
-		return errors.Errorf("no line of the logs tells of request %s (%d lines are no log lines)", c.RequestID, collector.Skipped)
+		return errors.Errorf("no line of the logs tells of request %s (%d lines are no log lines); %s", c.RequestID, collector.Skipped, noLine(story))
 	}
 	return r.print(story, func(w io.Writer) { writeStory(w, story) })
 }
 
+// noLine tells what may have become of a request without a line.
+func noLine(story logtrace.Story) string {
+	if len(story.Deaths) == 0 {
+		return "it reached none of these instances"
+	}
+	var deaths []string
+	for _, start := range story.Deaths {
+		deaths = append(deaths, start.Instance+" (started again "+start.Time.Format(time.TimeOnly)+")")
+	}
+	return "it reached none of these instances, or was in flight at one that ended without a word: " + strings.Join(deaths, ", ")
+}
+
 func readLog(c *logtrace.Collector, path string) error {
 	if path == standardInput {
 		return c.Read(os.Stdin, "")
--- a/internal/logtrace/logtrace_test.go
+++ b/internal/logtrace/logtrace_test.go
@@ -51,6 +51,15 @@
 			"answered, the first part after 100ms by model large; the server had 1.25 s of work before it; s1 ended as escalated, then s1 ended as answered",
 		},
 		{"cut log", line("a", 1, attempt), "the end is not in these logs: the instance still works on it, was ended, or left out lines"},
+		{
+			"killed instance", line("a", 1, `"event":7001,"name":"process_started"`) + line("a", 2, attempt) + line("a", 4, `"event":7001,"name":"process_started"`),
+			"the instance ended without a word while it worked on it; it started again at 07:48:04",
+		},
+		{
+			"ended and started again", line("a", 1, `"event":7001,"name":"process_started"`) + line("a", 2, attempt) +
+				line("a", 3, `"event":7003,"name":"process_stopped"`) + line("a", 4, `"event":7001,"name":"process_started"`),
+			"the end is not in these logs: the instance still works on it, was ended, or left out lines",
+		},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
--- a/internal/logtrace/story.go
+++ b/internal/logtrace/story.go
@@ -35,6 +35,9 @@
 type Story struct {
 	RequestID string `json:"request_id"`
 	Tries     []Try  `json:"tries"`
+	// Deaths are the starts of instances that had ended without a word: what was in
+	// flight there left no line.
+	Deaths []Line `json:"deaths,omitempty"`
 }
 
 // Story tells the request's story from what was read.
@@ -42,7 +45,7 @@
 	slices.SortStableFunc(c.own, func(a, b Line) int { return a.Time.Compare(b.Time) })
 	slices.SortStableFunc(c.beliefs, func(a, b Line) int { return a.Time.Compare(b.Time) })
 	open := make(map[string][]Line)
-	story := Story{RequestID: c.requestID}
+	story := Story{RequestID: c.requestID, Deaths: c.deaths()}
 	for _, line := range c.own {
 		open[line.Instance] = append(open[line.Instance], line)
 		if isEnd(line) {
@@ -51,7 +54,9 @@
 		}
 	}
 	for _, lines := range open {
-		story.Tries = append(story.Tries, c.try(lines))
+		cut := c.try(lines)
+		cut.Cause = cutOff(lines[len(lines)-1], story.Deaths)
+		story.Tries = append(story.Tries, cut)
 	}
 	slices.SortStableFunc(story.Tries, func(a, b Try) int {
 		return cmp.Compare(a.Lines[0].Time.UnixNano(), b.Lines[0].Time.UnixNano())
@@ -59,6 +64,34 @@
 	return story
 }
 
+// deaths finds the starts of instances that had not told of their end.
+func (c *Collector) deaths() []Line {
+	running := make(map[string]bool)
+	var list []Line
+	for _, line := range c.beliefs {
+		switch line.Event {
+		case events.ProcessStarted.Number:
+			if running[line.Instance] {
+				list = append(list, line)
+			}
+			running[line.Instance] = true
+		case events.ProcessStopped.Number:
+			running[line.Instance] = false
+		}
+	}
+	return list
+}
+
+// cutOff tells why a try has no end.
+func cutOff(last Line, deaths []Line) string {
+	for _, start := range deaths {
+		if start.Instance == last.Instance && start.Time.After(last.Time) {
+			return "the instance ended without a word while it worked on it; it started again at " + start.Time.Format(time.TimeOnly)
+		}
+	}
+	return "the end is not in these logs: the instance still works on it, was ended, or left out lines"
+}
+
 func isEnd(line Line) bool {
 	switch line.Event {
 	case events.ExchangeAnswered.Number, events.ExchangeRefused.Number, events.ExchangeBroken.Number:
@@ -121,7 +154,7 @@
 	case events.ExchangeRefused.Number, events.ExchangeBroken.Number:
 		return t.failed(end)
 	}
-	return "the end is not in these logs: the instance still works on it, was ended, or left out lines"
+	return ""
 }
 
 func (t Try) failed(end Line) string {
