Readers of a table stay three: tell of a join at once, of large rows by patches

A reader was forgotten after 3.5 s but heard only each 5 s; one that joined was heard after its first feed, 5 s later, by when the others had joined; and an instance counted as reading while it still waited for its turn to join. Ruled out: more relayed bytes (messages over 6 kB cost more than they save). Change: a reader counts for its own feed's time and 2.5 s; a join is told at once; patches between versions of large rows, many rows compressed, both within 6 kB; an instance without links reads for itself.

--- a/internal/storefeed/messages.go
+++ b/internal/storefeed/messages.go
@@ -1,7 +1,9 @@
 package storefeed
 
 import (
+	"cmp"
 	"context"
+	"slices"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -24,21 +26,26 @@
 	// Now is the store's clock when it answered, in nanoseconds.
 	Now  int64 `cbor:"4,keyasint"`
 	Rows []Row `cbor:"5,keyasint,omitempty"`
-	// Partial tells that the rows were too large to be sent.
+	// Partial tells that the rows were too large to be sent, also as patches.
 	Partial bool `cbor:"6,keyasint,omitempty"`
 	// Reads tells that the sender goes on reading the table.
 	Reads bool `cbor:"7,keyasint,omitempty"`
+	// Deltas tell of large rows that are not among Rows.
+	Deltas []rowDelta `cbor:"8,keyasint,omitempty"`
+	// Packed are compressed rows, in place of Rows that would be too large.
+	Packed []byte `cbor:"9,keyasint,omitempty"`
 }
 
-// pass tells the others what the store answered, unless another reader does.
-func (t *table) pass(ctx context.Context, after uint64, page *Page) {
-	if turn := t.readers.turn(); turn > 0 && t.readers.isReading() {
+// pass tells the others what the store answered, unless another reader does; one
+// that joined tells of itself.
+func (t *table) pass(ctx context.Context, after uint64, page *Page, joined bool) {
+	if turn := t.readers.turn(); turn > 0 && t.readers.isReading() && !joined {
 		// A context that ends is seen by the loop.
 		_ = wait.For(ctx, turn)
 	}
 	t.mu.Lock()
 	known := t.toldRevision >= page.Revision && t.toldNow+t.Wait/2 >= page.Now
-	if known && time.Since(t.told) < presence {
+	if known && !joined && time.Since(t.told) < presence {
 		t.mu.Unlock()
 		return
 	}
@@ -57,14 +64,40 @@
 // tell sends what the store answered.
 func (t *table) tell(after uint64, page *Page) {
 	m := change{Table: t.Name, After: after, Revision: page.Revision, Now: int64(page.Now), Rows: page.Rows, Reads: t.readers.isReading()}
-	size := 0
-	for _, row := range page.Rows {
+	if !t.shorten(&m) {
+		m.Rows, m.Deltas, m.Packed, m.Partial = nil, nil, nil, true
+	}
+	t.f.Bus.Broadcast(peers.KindTableChange, m)
+}
+
+// shorten tells of large rows by patches and of many rows compressed; false if the
+// message is still too large.
+func (t *table) shorten(m *change) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	size, patched := 0, 0
+	rows := m.Rows
+	m.Rows = nil
+	for _, row := range rows {
+		if len(row.Value) >= leastLarge {
+			if d, ok := t.deltaOf(row); ok {
+				m.Deltas = append(m.Deltas, d)
+				patched += len(d.Key) + len(d.Patch)
+				continue
+			}
+		}
+		m.Rows = append(m.Rows, row)
 		size += len(row.Key) + len(row.Value)
 	}
-	if size > maxRelayedBytes {
-		m.Rows, m.Partial = nil, true
+	if size+patched <= maxRelayedBytes {
+		return true
 	}
-	t.f.Bus.Broadcast(peers.KindTableChange, m)
+	packed, err := pack(m.Rows)
+	if err != nil {
+		return false
+	}
+	m.Rows, m.Packed = nil, packed
+	return len(packed)+patched <= maxRelayedBytes
 }
 
 // handleChange takes in a peer's news.
@@ -93,17 +126,42 @@
 	if !t.loaded {
 		return
 	}
-	if m.Revision > t.revision && (m.Partial || m.After > t.revision) {
+	rows, whole := t.rowsOf(m)
+	if m.Revision > t.revision && (m.Partial || m.After > t.revision || !whole) {
 		t.behind = true
 		t.wakeUp()
 		return
 	}
 	t.noteOutage()
-	t.apply(m.Rows, m.Revision)
+	t.apply(rows, m.Revision)
 	t.current = true
 	t.confirm(time.Duration(m.Now))
 }
 
+// rowsOf are the rows that a message tells of, in the order of their revisions;
+// whole is false where a patch belongs to another value than the known one.
+func (t *table) rowsOf(m change) (rows []Row, whole bool) {
+	rows = m.Rows
+	if m.Revision <= t.revision {
+		return rows, true
+	}
+	if m.Packed != nil && unpack(m.Packed, &rows) != nil {
+		return nil, false
+	}
+	for _, d := range m.Deltas {
+		if d.Revision <= t.revision {
+			continue
+		}
+		row, ok := t.patched(d)
+		if !ok {
+			return nil, false
+		}
+		rows = append(rows, row)
+	}
+	slices.SortStableFunc(rows, func(a, b Row) int { return cmp.Compare(a.Revision, b.Revision) })
+	return rows, true
+}
+
 func (t *table) wakeUp() {
 	select {
 	case t.wake <- struct{}{}:
--- a/internal/storefeed/readers.go
+++ b/internal/storefeed/readers.go
@@ -11,9 +11,9 @@
 	// readersWanted is the number of instances that read a table: one may be frozen
 	// and one cut off while a third still tells of every change.
 	readersWanted = 3
-	// readerSilence is how long a reader is counted after it was last heard. A reader
-	// is heard each two seconds.
-	readerSilence = 3500 * time.Millisecond
+	// readerSilence is how long beyond the time of a feed a reader is counted after it
+	// was last heard: time for a frozen instance to go on.
+	readerSilence = 2500 * time.Millisecond
 	// turnGap is the time that a reader leaves each one before it to tell of a
 	// change. A message crosses the fleet in less.
 	turnGap = 40 * time.Millisecond
@@ -25,15 +25,20 @@
 type readers struct {
 	table string
 	own   uint64
-	mu    sync.Mutex
-	heard map[string]time.Time
-	reads bool
+	// silence is how long a reader is counted after it was last heard.
+	silence time.Duration
+	mu      sync.Mutex
+	heard   map[string]time.Time
+	reads   bool
 	// rank is the number of readers that come before this one.
 	rank int
 }
 
-func newReaders(table, self string) *readers {
-	return &readers{table: table, own: orderOf(table, self), heard: make(map[string]time.Time)}
+func newReaders(t Table, self string) *readers {
+	return &readers{
+		table: t.Name, own: orderOf(t.Name, self), silence: max(t.Wait+t.MinGap, presence) + readerSilence,
+		heard: make(map[string]time.Time),
+	}
 }
 
 // orderOf ranks the instances differently for each table.
@@ -46,13 +51,14 @@
 	r.heard[instance] = time.Now()
 }
 
-// decide reports whether this instance should read now.
-func (r *readers) decide() bool {
+// decide reports whether this instance should read now; mayJoin tells that it may
+// begin to.
+func (r *readers) decide(mayJoin bool) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	before := 0
 	for instance, at := range r.heard {
-		if time.Since(at) > readerSilence {
+		if time.Since(at) > r.silence {
 			delete(r.heard, instance)
 			continue
 		}
@@ -63,7 +69,7 @@
 	r.rank = before
 	// An instance that does not read joins only if there are too few, whatever their
 	// order: who comes first changes nothing for the others.
-	r.reads = before < readersWanted && (r.reads || len(r.heard) < readersWanted)
+	r.reads = before < readersWanted && (r.reads || mayJoin && len(r.heard) < readersWanted)
 	return r.reads
 }
 
--- a/internal/storefeed/storefeed.go
+++ b/internal/storefeed/storefeed.go
@@ -11,6 +11,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -97,7 +98,8 @@
 		Table:   t,
 		f:       f,
 		wake:    make(chan struct{}, 1),
-		readers: newReaders(t.Name, f.Bus.Self()),
+		large:   make(map[string]largeRow),
+		readers: newReaders(t, f.Bus.Self()),
 	}
 }
 
@@ -110,6 +112,12 @@
 	group.Wait()
 }
 
+// alone reports whether no peer can tell of the tables: at a start, before the
+// first link, or behind a partition. An instance then reads for itself.
+func (f *Follower) alone() bool {
+	return !slices.ContainsFunc(f.Bus.Peers(), func(p peers.Peer) bool { return p.Connected })
+}
+
 // Readers is the number of tables that this instance reads for the others.
 func (f *Follower) Readers() int {
 	n := 0
--- a/internal/storefeed/storefeed_test.go
+++ b/internal/storefeed/storefeed_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -185,13 +186,18 @@
 }
 
 func startFleet(ctx context.Context, n int) *testFleet {
+	return startFleetOf(ctx, n, Table{Wait: time.Second, StaleAfter: 1300 * time.Millisecond})
+}
+
+// startFleetOf starts instances that follow a table with such times.
+func startFleetOf(ctx context.Context, n int, times Table) *testFleet {
 	f := &testFleet{store: newFakeStore(), network: membus.New()}
 	f.store.put("a", "1")
 	for i := range n {
 		m := &member{name: fmt.Sprintf("i%02d", i), values: make(map[string]string)}
 		m.follower = New(Options{Bus: f.network.Join(m.name, "d"), Source: clientOf{f.store, m.name}})
 		m.follower.Add(Table{
-			Name: "t", Wait: time.Second, StaleAfter: 1300 * time.Millisecond, Apply: m.apply,
+			Name: "t", Wait: times.Wait, StaleAfter: times.StaleAfter, Apply: m.apply,
 			Confirmed: func(at time.Duration) {
 				m.mu.Lock()
 				defer m.mu.Unlock()
@@ -245,6 +251,72 @@
 	})
 }
 
+// TestTableThatSeldomChangesHasFewReadersToo: its readers are heard less often.
+func TestTableThatSeldomChangesHasFewReadersToo(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		f := startFleetOf(ctx, 40, Table{Wait: 5 * time.Second, StaleAfter: 12 * time.Second})
+		time.Sleep(20 * time.Second)
+		assert.LessOrEqual(t, f.store.count(), 40*2+20, "calls at the start: two each, and those of the readers")
+		before := f.store.count()
+		time.Sleep(60 * time.Second)
+		assert.LessOrEqual(t, f.store.count()-before, 60*readersWanted/5+readersWanted, "calls in a minute")
+		assert.LessOrEqual(t, len(f.readers()), readersWanted+1)
+		cancel()
+		synctest.Wait()
+	})
+}
+
+// TestChangeOfALargeRowIsReadByReadersOnly plays keys that are taken from a
+// configuration of several hundred routes, one after the other.
+func TestChangeOfALargeRowIsReadByReadersOnly(t *testing.T) {
+	inBubble(t, 40, func(t *testing.T, f *testFleet) {
+		f.store.put("large", largeDocument(0))
+		time.Sleep(10 * time.Second)
+		before := f.store.count()
+		for n := range 10 {
+			f.store.put("large", largeDocument(n+1))
+			time.Sleep(500 * time.Millisecond)
+			for _, m := range f.members {
+				require.Equal(t, largeDocument(n+1), m.value("large"), m.name)
+			}
+		}
+		assert.Less(t, f.store.count()-before, 60, "calls for ten changes, of 40 instances")
+	})
+}
+
+// TestInstancesWithoutLinksReadForThemselves plays a start, before the links stand.
+func TestInstancesWithoutLinksReadForThemselves(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		f := startFleetOf(ctx, 10, Table{Wait: 5 * time.Second, StaleAfter: 12 * time.Second})
+		for _, m := range f.members {
+			f.network.Cut(m.name, true)
+		}
+		time.Sleep(time.Second)
+		f.store.put("a", "2")
+		time.Sleep(200 * time.Millisecond)
+		for _, m := range f.members {
+			assert.Equal(t, "2", m.value("a"), m.name)
+		}
+		time.Sleep(9 * time.Second)
+		assert.LessOrEqual(t, f.store.count(), 10*6, "calls: two at the start, one for the change, one each five seconds")
+		cancel()
+		synctest.Wait()
+	})
+}
+
+// largeDocument is a document of several hundred routes of which a few bytes differ.
+func largeDocument(version int) string {
+	var b strings.Builder
+	fmt.Fprintf(&b, `{"version":%d,"routes":[`, version)
+	for i := range 400 {
+		fmt.Fprintf(&b, `{"name":"r-%x","host":"h%x.example","prefix":"/%x/","kind":"streaming"},`, i*7919, i*104729, i*1299709)
+	}
+	fmt.Fprintf(&b, `{}],"keys":["k%x","k%x"]}`, version*7907, version*7901)
+	return b.String()
+}
+
 func TestLostReadersAreReplaced(t *testing.T) {
 	inBubble(t, 12, func(t *testing.T, f *testFleet) {
 		time.Sleep(10 * time.Second)
--- a/internal/storefeed/table.go
+++ b/internal/storefeed/table.go
@@ -42,6 +42,8 @@
 	loaded   bool
 	// current tells that a feed has answered since the table was read whole.
 	current bool
+	// joined tells that this instance began to read and has told nobody yet.
+	joined bool
 	// behind tells that a peer knows a later revision.
 	behind bool
 	// heard is when the table was last confirmed, by the store or by a peer.
@@ -54,6 +56,8 @@
 	toldRevision uint64
 	toldNow      time.Duration
 	told         time.Time
+	// large are the rows whose values are kept.
+	large map[string]largeRow
 }
 
 // run follows the table until the context ends.
@@ -86,11 +90,17 @@
 	if t.f.breaker.failedLately() {
 		return false
 	}
+	if t.f.alone() {
+		return true
+	}
 	wasReading := t.readers.isReading()
-	if !t.readers.decide() {
+	if !t.readers.decide(silence > jitter) {
 		return false
 	}
-	return wasReading || silence > jitter
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.joined = !wasReading
+	return true
 }
 
 // idle waits for a peer's news.
@@ -107,13 +117,15 @@
 // call asks the store for the whole table or for what changed.
 func (t *table) call(ctx context.Context) error {
 	t.mu.Lock()
-	loaded, after := t.loaded, t.revision
+	loaded, after, joined := t.loaded, t.revision, t.joined
 	longest := t.Wait
-	if !t.current || t.behind || !t.readers.isReading() || t.f.breaker.isOpen() {
+	if !t.current || t.behind || joined || !t.readers.isReading() && !t.f.alone() || t.f.breaker.isOpen() {
 		// A read of the whole table may be old; the feed's first answer tells. A call
-		// that tries a lost store must not keep the others waiting.
+		// that tries a lost store must not keep the others waiting, nor one after which
+		// they hear of a new reader: else all of them join.
 		longest = 0
 	}
+	t.joined = false
 	t.mu.Unlock()
 	if !loaded {
 		page, err := t.f.Source.Scan(ctx, t.Name)
@@ -131,7 +143,7 @@
 		return err
 	}
 	t.take(page)
-	t.pass(ctx, after, page)
+	t.pass(ctx, after, page, joined)
 	// A context that ends is seen by the loop.
 	_ = wait.For(ctx, t.MinGap)
 	return nil
@@ -147,6 +159,7 @@
 	}
 	t.noteOutage()
 	t.Apply(page.Rows, true, t.unsure())
+	t.keepLarge(page.Rows)
 	t.revision, t.loaded = page.Revision, true
 	// Where nobody vouches for the table, the readers' next news tells whether the
 	// read was old.
@@ -185,6 +198,7 @@
 	}
 	if len(news) > 0 {
 		t.Apply(news, false, t.unsure())
+		t.keepLarge(news)
 	}
 	t.revision = max(t.revision, revision)
 }
