Let readers alone answer for a lost history; who catches up tells nobody

All 68 instances then read three tables whole, asked the feeds and told all others what they had found: 90,000 frames and 77 MB in a second, on links of 10 Mbit/s and more. Calls to servers waited: throughput fell to a third for two seconds, 400 connections timed out, 500 servers were left alone. Ruled out: processor time (the same without its charge), the servers' limits of connections (slow to plain services too, all servers alike). Change: a reader that reads a table whole again tells the others which rows changed or went, with the warning that some may be back; an instance that only catches up does not tell; sessions kept at an order are told at most each 10 ms times the fleet, and only those near the trial's share.

--- a/internal/storefeed/messages.go
+++ b/internal/storefeed/messages.go
@@ -34,11 +34,14 @@
 	Deltas []rowDelta `cbor:"8,keyasint,omitempty"`
 	// Packed are compressed rows, in place of Rows that would be too large.
 	Packed []byte `cbor:"9,keyasint,omitempty"`
+	// Gap tells that the store lost the history between After and Revision: rows that
+	// are gone may be missing by its own doing.
+	Gap bool `cbor:"10,keyasint,omitempty"`
 }
 
 // pass tells the others what the store answered, unless another reader does; one
 // that joined tells of itself.
-func (t *table) pass(ctx context.Context, after uint64, page *Page, joined bool) {
+func (t *table) pass(ctx context.Context, m change, page *Page, joined bool) {
 	if turn := t.readers.turn(); turn > 0 && t.readers.isReading() && !joined {
 		// A context that ends is seen by the loop.
 		_ = wait.For(ctx, turn)
@@ -52,7 +55,7 @@
 	t.told = time.Now()
 	t.noteTold(page.Revision, page.Now)
 	t.mu.Unlock()
-	t.tell(after, page)
+	t.tell(m, page)
 }
 
 // noteTold keeps what the others know. The caller holds the lock.
@@ -62,8 +65,9 @@
 }
 
 // tell sends what the store answered.
-func (t *table) tell(after uint64, page *Page) {
-	m := change{Table: t.Name, After: after, Revision: page.Revision, Now: int64(page.Now), Rows: page.Rows, Reads: t.readers.isReading()}
+func (t *table) tell(m change, page *Page) {
+	m.Table, m.Revision, m.Now = t.Name, page.Revision, int64(page.Now)
+	m.Rows, m.Reads = page.Rows, t.readers.isReading()
 	if !t.shorten(&m) {
 		m.Rows, m.Deltas, m.Packed, m.Partial = nil, nil, nil, true
 	}
@@ -133,6 +137,9 @@
 		return
 	}
 	t.noteOutage()
+	if m.Gap && m.Revision > t.revision {
+		t.outageEnd = time.Now()
+	}
 	t.apply(rows, m.Revision)
 	t.current = true
 	t.confirm(time.Duration(m.Now))
--- a/internal/storefeed/storefeed.go
+++ b/internal/storefeed/storefeed.go
@@ -99,6 +99,7 @@
 		f:       f,
 		wake:    make(chan struct{}, 1),
 		large:   make(map[string]largeRow),
+		keys:    make(map[string]bool),
 		readers: newReaders(t, f.Bus.Self()),
 	}
 }
--- a/internal/storefeed/storefeed_test.go
+++ b/internal/storefeed/storefeed_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -13,6 +14,7 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"github.com/basilrail/basilrail/internal/peers"
 	"github.com/basilrail/basilrail/internal/peers/membus"
 )
 
@@ -50,6 +52,15 @@
 	s.woken = make(chan struct{})
 }
 
+// change changes the store's rows and wakes those that wait.
+func (s *fakeStore) change(how func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	how()
+	close(s.woken)
+	s.woken = make(chan struct{})
+}
+
 func (s *fakeStore) forget() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -179,7 +190,20 @@
 	return time.Since(s.started) - m.confirmed
 }
 
+// countingBus counts the messages to all.
+type countingBus struct {
+	peers.Bus
+	broadcasts *atomic.Int64
+}
+
+func (b countingBus) Broadcast(kind peers.Kind, body any) {
+	b.broadcasts.Add(1)
+	b.Bus.Broadcast(kind, body)
+}
+
 type testFleet struct {
+	broadcasts atomic.Int64
+
 	store   *fakeStore
 	network *membus.Network
 	members []*member
@@ -195,7 +219,7 @@
 	f.store.put("a", "1")
 	for i := range n {
 		m := &member{name: fmt.Sprintf("i%02d", i), values: make(map[string]string)}
-		m.follower = New(Options{Bus: f.network.Join(m.name, "d"), Source: clientOf{f.store, m.name}})
+		m.follower = New(Options{Bus: countingBus{f.network.Join(m.name, "d"), &f.broadcasts}, Source: clientOf{f.store, m.name}})
 		m.follower.Add(Table{
 			Name: "t", Wait: times.Wait, StaleAfter: times.StaleAfter, Apply: m.apply,
 			Confirmed: func(at time.Duration) {
@@ -396,6 +420,52 @@
 	})
 }
 
+// TestLostHistoryIsReadByReadersOnly plays a store that drops its history while
+// rows change: what the readers find is enough for all.
+func TestLostHistoryIsReadByReadersOnly(t *testing.T) {
+	inBubble(t, 40, func(t *testing.T, f *testFleet) {
+		f.store.put("gone", "1")
+		time.Sleep(10 * time.Second)
+		calls, broadcasts := f.store.count(), f.broadcasts.Load()
+		f.store.change(func() {
+			f.store.log = nil
+			f.store.oldest = f.store.revision + 10
+			f.store.revision += 20
+			delete(f.store.rows, "gone")
+			f.store.rows["b"] = Row{Key: "b", Value: []byte("2"), Revision: f.store.revision}
+		})
+		time.Sleep(3 * time.Second)
+		for _, m := range f.members {
+			assert.Equal(t, "2", m.value("b"), m.name)
+			assert.Empty(t, m.value("gone"), m.name)
+			assert.Positive(t, m.unsureFor(), m.name)
+		}
+		assert.Less(t, f.store.count()-calls, 30, "calls in three seconds, of 40 instances")
+		assert.Less(t, f.broadcasts.Load()-broadcasts, int64(20), "messages to all")
+	})
+}
+
+// TestLateInstanceTellsNobodyWhatAllKnow plays instances that start one after the
+// other in a fleet.
+func TestLateInstanceTellsNobodyWhatAllKnow(t *testing.T) {
+	inBubble(t, 20, func(t *testing.T, f *testFleet) {
+		time.Sleep(10 * time.Second)
+		f.store.put("a", "2")
+		time.Sleep(time.Second)
+		before := f.broadcasts.Load()
+		for _, m := range f.members {
+			if m.follower.Readers() == 0 {
+				table := m.follower.tables["t"]
+				table.mu.Lock()
+				table.behind, table.revision = true, 1
+				table.mu.Unlock()
+			}
+		}
+		time.Sleep(500 * time.Millisecond)
+		assert.LessOrEqual(t, f.broadcasts.Load()-before, int64(readersWanted))
+	})
+}
+
 func TestOldScanNeverTakesBackWhatIsKnown(t *testing.T) {
 	inBubble(t, 1, func(t *testing.T, f *testFleet) {
 		time.Sleep(3 * time.Second)
--- a/internal/storefeed/table.go
+++ b/internal/storefeed/table.go
@@ -44,6 +44,10 @@
 	current bool
 	// joined tells that this instance began to read and has told nobody yet.
 	joined bool
+	// keys are the keys of the rows that there are.
+	keys map[string]bool
+	// gapAfter is the revision after which the history was lost; zero for none.
+	gapAfter uint64
 	// behind tells that a peer knows a later revision.
 	behind bool
 	// heard is when the table was last confirmed, by the store or by a peer.
@@ -118,6 +122,7 @@
 func (t *table) call(ctx context.Context) error {
 	t.mu.Lock()
 	loaded, after, joined := t.loaded, t.revision, t.joined
+	catchingUp := !t.current || t.behind
 	longest := t.Wait
 	if !t.current || t.behind || joined || !t.readers.isReading() && !t.f.alone() || t.f.breaker.isOpen() {
 		// A read of the whole table may be old; the feed's first answer tells. A call
@@ -132,7 +137,7 @@
 		if err != nil {
 			return err
 		}
-		return t.load(page)
+		return t.reload(ctx, page)
 	}
 	page, err := t.f.Source.Feed(ctx, t.Name, after, longest)
 	if errors.Is(err, ErrHistoryGone) {
@@ -143,12 +148,61 @@
 		return err
 	}
 	t.take(page)
-	t.pass(ctx, after, page, joined)
+	// Those that only catch up would tell what the others know.
+	if t.readers.isReading() || !catchingUp {
+		t.pass(ctx, change{After: after}, page, joined)
+	}
 	// A context that ends is seen by the loop.
 	_ = wait.For(ctx, t.MinGap)
 	return nil
 }
 
+// reload takes in the whole table. A reader that lost the history tells the others
+// what changed meanwhile, so that they need not read it whole too.
+func (t *table) reload(ctx context.Context, page *Page) error {
+	t.mu.Lock()
+	after := t.gapAfter
+	missed := t.missed(page, after)
+	t.mu.Unlock()
+	if err := t.load(page); err != nil {
+		return err
+	}
+	if after > 0 && t.readers.isReading() {
+		t.pass(ctx, change{After: after, Gap: true}, missed, false)
+	}
+	return nil
+}
+
+// missed are the rows of a whole table that changed or went after a revision. The
+// caller holds the lock.
+func (t *table) missed(page *Page, after uint64) *Page {
+	missed := &Page{Revision: page.Revision, Now: page.Now}
+	present := make(map[string]bool, len(page.Rows))
+	for _, row := range page.Rows {
+		present[row.Key] = true
+		if row.Revision > after {
+			missed.Rows = append(missed.Rows, row)
+		}
+	}
+	for key := range t.keys {
+		if !present[key] {
+			missed.Rows = append(missed.Rows, Row{Key: key, Revision: page.Revision, Deleted: true})
+		}
+	}
+	return missed
+}
+
+// noteKeys keeps which rows there are. The caller holds the lock.
+func (t *table) noteKeys(rows []Row) {
+	for _, row := range rows {
+		if row.Deleted {
+			delete(t.keys, row.Key)
+			continue
+		}
+		t.keys[row.Key] = true
+	}
+}
+
 // load takes in the whole table. One that is older than what is known is dropped;
 // the next read is newer.
 func (t *table) load(page *Page) error {
@@ -160,6 +214,9 @@
 	t.noteOutage()
 	t.Apply(page.Rows, true, t.unsure())
 	t.keepLarge(page.Rows)
+	clear(t.keys)
+	t.noteKeys(page.Rows)
+	t.gapAfter = 0
 	t.revision, t.loaded = page.Revision, true
 	// Where nobody vouches for the table, the readers' next news tells whether the
 	// read was old.
@@ -174,7 +231,7 @@
 	defer t.mu.Unlock()
 	t.f.Log.Log(events.StoreHistoryGone, events.Fields{Path: t.Name, Revision: revision})
 	t.outageEnd = time.Now()
-	t.loaded = false
+	t.loaded, t.gapAfter = false, revision
 }
 
 // take applies what the store answered.
@@ -199,6 +256,7 @@
 	if len(news) > 0 {
 		t.Apply(news, false, t.unsure())
 		t.keepLarge(news)
+		t.noteKeys(news)
 	}
 	t.revision = max(t.revision, revision)
 }
--- a/internal/upgrade/sessions.go
+++ b/internal/upgrade/sessions.go
@@ -16,6 +16,12 @@
 	trialDelay = 1500 * time.Millisecond
 	// trialDelayShare bounds it as a part of the order's time.
 	trialDelayShare = 0.1
+	// keepMargin is how many times the trial's share the kept sessions may have: the
+	// instance that records the order measured the share by its own requests.
+	keepMargin = 2
+	// untoldGap is the least time, for each instance of the fleet, between two
+	// messages with sessions that the peers don't know yet: each instance hears of all.
+	untoldGap = 10 * time.Millisecond
 	// maxToldSessions bounds the sessions in a message: a trial of trialRate requests
 	// a second has about 25 in the whole fleet.
 	maxToldSessions = 64
@@ -62,7 +68,7 @@
 // caller holds the lock.
 func (c *Controller) keep(m *move, key sessionKey, release string) {
 	if m == nil || release == m.order.To || m.machine.State() != statechart.UpgradeObserving ||
-		hashShare(m.order, key) >= maxTrialShare {
+		hashShare(m.order, key) >= m.keptShare() {
 		return
 	}
 	// A session that the peers know of is refreshed with the next evidence.
@@ -72,6 +78,20 @@
 	m.kept[key] = time.Now()
 }
 
+// keptShare is the share of sessions that may belong to the trial.
+func (m *move) keptShare() float64 {
+	if !m.known {
+		return maxTrialShare
+	}
+	return min(maxTrialShare, keepMargin*m.record.TrialShare)
+}
+
+// mustTell reports whether peers should hear of kept sessions now. The caller
+// holds the lock.
+func (c *Controller) mustTell(m *move) bool {
+	return m.hasUntold && m.known && time.Since(m.sharedAt) >= time.Duration(len(c.Bus.Peers())+1)*untoldGap
+}
+
 // toldSession is a session that its teller saw on the old release.
 type toldSession struct {
 	Key sessionKey `cbor:"1,keyasint"`
@@ -86,7 +106,7 @@
 	var told []toldSession
 	for key, at := range m.kept {
 		age := time.Since(at)
-		if age >= c.memory() {
+		if age >= c.memory() || hashShare(m.order, key) >= m.keptShare() {
 			delete(m.kept, key)
 			continue
 		}
--- a/internal/upgrade/step.go
+++ b/internal/upgrade/step.go
@@ -83,13 +83,19 @@
 	}
 	fleetGap := time.Duration(len(c.Bus.Peers())+1) * shareGap
 	bad := c.pool.badAnswers(m.order)
-	if time.Since(m.sharedAt) < fleetGap && bad == m.sharedBad && !m.bad && !m.hasUntold {
+	isDue := time.Since(m.sharedAt) >= fleetGap || bad != m.sharedBad || m.bad
+	if !isDue && !c.mustTell(m) {
+		c.mu.Unlock()
+		return
+	}
+	kept := c.toldSessions(m)
+	if !isDue && len(kept) == 0 {
 		c.mu.Unlock()
 		return
 	}
 	m.sharedAt, m.sharedBad = time.Now(), bad
 	message := c.pool.message(m.order, epoch, m.bad)
-	message.Kept = c.toldSessions(m)
+	message.Kept = kept
 	c.mu.Unlock()
 	c.Bus.Broadcast(peers.KindUpgradeEvidence, message)
 }
