Write log lines without maps and reflection

Cause: of the processor time in a request's path (pprof of an instance with stand-ins, 16,000 requests) logging took 25 in 100, most of it logrus's map of fields and encoding/json. Change: a logrus formatter that appends the event and its fields; other entries go to logrus's own. The lines hold the same fields and values.

--- a/internal/events/events.go
+++ b/internal/events/events.go
@@ -80,16 +80,25 @@
 // Logger writes events. A nil *Logger drops them.
 type Logger struct {
 	out *logrus.Logger
+	// whole tells that lines are handed to a Formatter as they are.
+	whole bool
 }
 
 // NewLogger wraps a logrus logger.
-func NewLogger(out *logrus.Logger) *Logger { return &Logger{out: out} }
+func NewLogger(out *logrus.Logger) *Logger {
+	_, whole := out.Formatter.(*Formatter)
+	return &Logger{out: out, whole: whole}
+}
 
 // Log writes one event.
 func (l *Logger) Log(e *Event, f Fields) {
 	if l == nil || !l.out.IsLevelEnabled(e.Level) {
 		return
 	}
+	if l.whole {
+		l.out.WithField(lineField, &line{event: e, fields: f}).Log(e.Level, e.Message)
+		return
+	}
 	fields := logrus.Fields{"event": e.Number, "name": e.Name}
 	f.addTo(fields)
 	l.out.WithFields(fields).Log(e.Level, e.Message)
