One copy of the ticker loop, of compressed CBOR and of a log line's fields

Three loops repeated entry's every, which is now wait.Every; the table feed compressed with code that bills had (package packed, with spare compressors for both); the two log formats listed the fields twice and now walk them once. The evidence to tell is decided in one function under one lock. No behaviour changes; the stored form of bills is the same.

--- a/internal/datastore/datastore.go
+++ b/internal/datastore/datastore.go
@@ -197,7 +197,7 @@
 		servers[id] = server
 		all = append(all, server)
 	}
-	slices.SortFunc(all, compareHashes)
+	slices.SortFunc(all, CompareHashes)
 	snap := &Snapshot{
 		Settings:  s,
 		Servers:   servers,
@@ -232,9 +232,6 @@
 	s.status.Store(&status)
 }
 
-// CompareHashes orders servers by their hashes, as decisions expect them.
-func CompareHashes(a, b *Server) int { return compareHashes(a, b) }
-
 func sameSettings(a, b settings.Server) bool {
 	return a.Address == b.Address && a.FailureDomain == b.FailureDomain &&
 		a.Capacity == b.Capacity && a.Service == b.Service &&
@@ -273,14 +270,14 @@
 	return found
 }
 
-// compareHashes orders servers by their hashes.
-func compareHashes(a, b *Server) int {
+// CompareHashes orders servers by their hashes, as decisions expect them.
+func CompareHashes(a, b *Server) int {
 	return cmp.Or(cmp.Compare(a.Hash, b.Hash), cmp.Compare(a.ID, b.ID))
 }
 
 // position finds a server in a list ordered by hash.
 func position(list []*Server, server *Server) (int, bool) {
-	return slices.BinarySearchFunc(list, server, compareHashes)
+	return slices.BinarySearchFunc(list, server, CompareHashes)
 }
 
 // with returns a copy of the list that holds the server.
--- a/internal/entry/instance.go
+++ b/internal/entry/instance.go
@@ -9,7 +9,6 @@
 	"net"
 	"net/http"
 	"sync"
-	"time"
 
 	"github.com/basilrail/basilrail/internal/backend"
 	"github.com/basilrail/basilrail/internal/billing"
@@ -110,17 +109,3 @@
 func (i *Instance) goLoop(ctx context.Context, loop func(context.Context)) {
 	i.loops.Go(func() { loop(ctx) })
 }
-
-// every calls a function at an interval until the context ends.
-func every(ctx context.Context, interval time.Duration, f func()) {
-	ticker := time.NewTicker(interval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ticker.C:
-			f()
-		case <-ctx.Done():
-			return
-		}
-	}
-}
--- a/internal/entry/learning.go
+++ b/internal/entry/learning.go
@@ -9,6 +9,7 @@
 
 	"github.com/basilrail/basilrail/internal/cascade"
 	"github.com/basilrail/basilrail/internal/peers"
+	"github.com/basilrail/basilrail/internal/wait"
 )
 
 const (
@@ -43,7 +44,7 @@
 }
 
 // Run shares until the context ends.
-func (l *learning) Run(ctx context.Context) { every(ctx, learningInterval, l.tick) }
+func (l *learning) Run(ctx context.Context) { wait.Every(ctx, learningInterval, l.tick) }
 
 func (l *learning) tick() {
 	now := time.Now()
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -147,7 +147,7 @@
 	i.goLoop(ctx, i.windows.Run)
 	i.goLoop(ctx, i.orders.Run)
 	i.goLoop(ctx, i.learning.Run)
-	i.goLoop(ctx, func(ctx context.Context) { every(ctx, observeInterval, i.life.observe) })
+	i.goLoop(ctx, func(ctx context.Context) { wait.Every(ctx, observeInterval, i.life.observe) })
 }
 
 // leave finishes the requests in flight and hands over what is not stored yet.
--- a/internal/entry/windows.go
+++ b/internal/entry/windows.go
@@ -13,6 +13,7 @@
 	"github.com/basilrail/basilrail/internal/peers"
 	"github.com/basilrail/basilrail/internal/scheduling"
 	"github.com/basilrail/basilrail/internal/settings"
+	"github.com/basilrail/basilrail/internal/wait"
 )
 
 // windowInterval is the time between two settings of the windows.
@@ -47,7 +48,7 @@
 
 // Run tells the demand and sets the windows until the context ends.
 func (w *windows) Run(ctx context.Context) {
-	every(ctx, windowInterval, w.tick)
+	wait.Every(ctx, windowInterval, w.tick)
 }
 
 func (w *windows) tick() {
--- a/internal/events/events.go
+++ b/internal/events/events.go
@@ -100,34 +100,67 @@
 		return
 	}
 	fields := logrus.Fields{"event": e.Number, "name": e.Name}
-	f.addTo(fields)
+	f.visit(fieldMap(fields))
 	l.out.WithFields(fields).Log(e.Level, e.Message)
 }
 
-func (f Fields) addTo(fields logrus.Fields) {
-	add := func(name string, value any, present bool) {
-		if present {
-			fields[name] = value
+// visitor takes the values of a line.
+type visitor interface {
+	text(name, value string)
+	integer(name string, value int64)
+	natural(name string, value uint64)
+	decimal(name string, value float64)
+}
+
+// visit hands over the values that are present, each under its name in the log.
+func (f *Fields) visit(v visitor) {
+	text := func(name, value string) {
+		if value != "" {
+			v.text(name, value)
+		}
+	}
+	text("client_account", string(f.Account))
+	text("request_id", f.RequestID)
+	text("attempt_id", f.AttemptID)
+	text("backend_server", f.Server)
+	text("version", f.Version)
+	text("peer", f.Peer)
+	text("path", f.Path)
+	text("address", f.Address)
+	text("reason", f.Reason)
+	text("model", f.Model)
+	text("outcome", f.Outcome)
+	integer := func(name string, value int) {
+		if value != 0 {
+			v.integer(name, int64(value))
+		}
+	}
+	integer("count", f.Count)
+	integer("status", f.Status)
+	duration := func(name string, value time.Duration) {
+		if value != 0 {
+			v.integer(name, value.Milliseconds())
 		}
 	}
-	add("client_account", f.Account, f.Account != "")
-	add("request_id", f.RequestID, f.RequestID != "")
-	add("attempt_id", f.AttemptID, f.AttemptID != "")
-	add("backend_server", f.Server, f.Server != "")
-	add("version", f.Version, f.Version != "")
-	add("peer", f.Peer, f.Peer != "")
-	add("path", f.Path, f.Path != "")
-	add("address", f.Address, f.Address != "")
-	add("revision", f.Revision, f.Revision != 0)
-	add("count", f.Count, f.Count != 0)
-	add("duration_ms", f.Duration.Milliseconds(), f.Duration != 0)
-	add("reason", f.Reason, f.Reason != "")
-	add("model", f.Model, f.Model != "")
-	add("outcome", f.Outcome, f.Outcome != "")
-	add("status", f.Status, f.Status != 0)
-	add("load", math.Round(f.Load*100)/100, f.Load != 0)
-	add("latency_ms", f.Latency.Milliseconds(), f.Latency != 0)
-	add("retry_after_ms", f.RetryAfter.Milliseconds(), f.RetryAfter != 0)
-	add("age_ms", f.Age.Milliseconds(), f.Age != 0)
-	add("error", f.Err, f.Err != nil)
+	duration("duration_ms", f.Duration)
+	duration("latency_ms", f.Latency)
+	duration("retry_after_ms", f.RetryAfter)
+	duration("age_ms", f.Age)
+	if f.Revision != 0 {
+		v.natural("revision", f.Revision)
+	}
+	if f.Load != 0 {
+		v.decimal("load", math.Round(f.Load*100)/100)
+	}
+	if f.Err != nil {
+		v.text("error", f.Err.Error())
+	}
 }
+
+// fieldMap is logrus's form of the values.
+type fieldMap logrus.Fields
+
+func (m fieldMap) text(name, value string)            { m[name] = value }
+func (m fieldMap) integer(name string, value int64)   { m[name] = value }
+func (m fieldMap) natural(name string, value uint64)  { m[name] = value }
+func (m fieldMap) decimal(name string, value float64) { m[name] = value }
--- a/internal/events/format.go
+++ b/internal/events/format.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/json"
-	"math"
 	"strconv"
 	"time"
 
@@ -37,62 +36,55 @@
 		return f.fallback.Format(entry)
 	}
 	// The entry's buffer is used again for the next line.
-	var text []byte
+	var out object
 	if entry.Buffer != nil {
-		text = entry.Buffer.AvailableBuffer()
+		out = entry.Buffer.AvailableBuffer()
 	}
-	text = append(text, `{"event":`...)
-	text = strconv.AppendInt(text, int64(l.event.Number), 10)
-	text = appendText(text, "name", l.event.Name)
-	text = appendText(text, "level", entry.Level.String())
-	text = appendText(text, "msg", entry.Message)
-	text = append(text, `,"time":"`...)
-	text = append(entry.Time.AppendFormat(text, time.RFC3339Nano), '"')
-	return append(l.fields.appendTo(text), "}\n"...), nil
+	out = append(out, '{')
+	out.integer("event", int64(l.event.Number))
+	out.text("name", l.event.Name)
+	out.text("level", entry.Level.String())
+	out.text("msg", entry.Message)
+	out.text("time", entry.Time.Format(time.RFC3339Nano))
+	l.fields.visit(&out)
+	return append(out, "}\n"...), nil
 }
 
-// appendTo adds the values that are present.
-func (f *Fields) appendTo(text []byte) []byte {
-	text = appendText(text, "client_account", string(f.Account))
-	text = appendText(text, "request_id", f.RequestID)
-	text = appendText(text, "attempt_id", f.AttemptID)
-	text = appendText(text, "backend_server", f.Server)
-	text = appendText(text, "version", f.Version)
-	text = appendText(text, "peer", f.Peer)
-	text = appendText(text, "path", f.Path)
-	text = appendText(text, "address", f.Address)
-	text = appendText(text, "reason", f.Reason)
-	text = appendText(text, "model", f.Model)
-	text = appendText(text, "outcome", f.Outcome)
-	text = appendNumber(text, "revision", f.Revision, f.Revision != 0)
-	text = appendNumber(text, "count", f.Count, f.Count != 0)
-	text = appendNumber(text, "status", f.Status, f.Status != 0)
-	text = appendNumber(text, "duration_ms", f.Duration.Milliseconds(), f.Duration != 0)
-	text = appendNumber(text, "latency_ms", f.Latency.Milliseconds(), f.Latency != 0)
-	text = appendNumber(text, "retry_after_ms", f.RetryAfter.Milliseconds(), f.RetryAfter != 0)
-	text = appendNumber(text, "age_ms", f.Age.Milliseconds(), f.Age != 0)
-	if f.Load != 0 {
-		text = append(text, `,"load":`...)
-		text = strconv.AppendFloat(text, math.Round(f.Load*100)/100, 'g', -1, 64)
-	}
-	if f.Err != nil {
-		text = appendText(text, "error", f.Err.Error())
+// object is a JSON object that is being written.
+type object []byte
+
+// name begins a member.
+func (o *object) name(name string) {
+	if (*o)[len(*o)-1] != '{' {
+		*o = append(*o, ',')
 	}
-	return text
+	*o = append(append(append(*o, '"'), name...), `":`...)
 }
 
-// appendText adds a text, unless it is empty.
-func appendText(text []byte, name, value string) []byte {
-	if value == "" {
-		return text
-	}
-	text = append(append(append(text, `,"`...), name...), `":`...)
+func (o *object) text(name, value string) {
+	o.name(name)
 	if isPlain(value) {
-		return append(append(append(text, '"'), value...), '"')
+		*o = append(append(append(*o, '"'), value...), '"')
+		return
 	}
 	// A string can always be encoded.
 	quoted, _ := json.Marshal(value)
-	return append(text, quoted...)
+	*o = append(*o, quoted...)
+}
+
+func (o *object) integer(name string, value int64) {
+	o.name(name)
+	*o = strconv.AppendInt(*o, value, 10)
+}
+
+func (o *object) natural(name string, value uint64) {
+	o.name(name)
+	*o = strconv.AppendUint(*o, value, 10)
+}
+
+func (o *object) decimal(name string, value float64) {
+	o.name(name)
+	*o = strconv.AppendFloat(*o, value, 'g', -1, 64)
 }
 
 // isPlain reports whether a text needs no escapes.
@@ -104,14 +96,3 @@
 	}
 	return true
 }
-
-func appendNumber[T int | int64 | uint64](text []byte, name string, value T, present bool) []byte {
-	if !present {
-		return text
-	}
-	text = append(append(append(text, `,"`...), name...), `":`...)
-	if value < 0 {
-		return strconv.AppendInt(text, int64(value), 10)
-	}
-	return strconv.AppendUint(text, uint64(value), 10)
-}
--- a/internal/loadshare/loadshare.go
+++ b/internal/loadshare/loadshare.go
@@ -18,6 +18,7 @@
 	"github.com/basilrail/basilrail/internal/datastore"
 	"github.com/basilrail/basilrail/internal/fleet"
 	"github.com/basilrail/basilrail/internal/peers"
+	"github.com/basilrail/basilrail/internal/wait"
 )
 
 const (
@@ -66,16 +67,9 @@
 
 // Run tells and adds up until the context ends.
 func (s *Sharer) Run(ctx context.Context) {
-	ticker := time.NewTicker(tellEvery)
-	defer ticker.Stop()
 	var told []entry
 	var toldAt time.Time
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
+	wait.Every(ctx, tellEvery, func() {
 		own := s.own()
 		changed := !equal(own, told)
 		if changed || (len(own) > 0 && time.Since(toldAt) > repeatAfter) {
@@ -83,7 +77,7 @@
 			told, toldAt = own, time.Now()
 		}
 		s.addUp()
-	}
+	})
 }
 
 // own lists the servers at which this instance has something in flight.
--- a/internal/logtrace/read.go
+++ b/internal/logtrace/read.go
@@ -12,6 +12,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"github.com/basilrail/basilrail/internal/events"
 )
 
 const (
@@ -89,7 +91,7 @@
 	switch {
 	case line.RequestID == c.requestID:
 		c.own = append(c.own, line)
-	case line.RequestID == "" || line.Name == nameEjected:
+	case line.RequestID == "" || line.Event == events.ServerEjected.Number:
 		c.beliefs = append(c.beliefs, line)
 		if len(c.beliefs) > maxBeliefs {
 			c.beliefs = slices.Delete(c.beliefs, 0, maxBeliefs/2)
--- a/internal/logtrace/story.go
+++ b/internal/logtrace/story.go
@@ -12,9 +12,6 @@
 	"github.com/basilrail/basilrail/internal/retry"
 )
 
-// nameEjected is the event of a server that is left alone for a while.
-var nameEjected = events.ServerEjected.Name
-
 // lookBack is how long before a request's end a line may have led to it: a server
 // is left alone, and a table's outage told of, for no longer.
 const lookBack = 15 * time.Second
--- a/internal/quarantine/breaks.go
+++ b/internal/quarantine/breaks.go
@@ -12,6 +12,7 @@
 
 	"github.com/basilrail/basilrail/internal/events"
 	"github.com/basilrail/basilrail/internal/peers"
+	"github.com/basilrail/basilrail/internal/wait"
 )
 
 const (
@@ -135,18 +136,11 @@
 
 // Run tells the peers until the context ends.
 func (b *Breaks) Run(ctx context.Context) {
-	ticker := time.NewTicker(tellEvery)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
+	wait.Every(ctx, tellEvery, func() {
 		if m := b.message(); len(m.Broken)+len(m.Answered) > 0 {
 			b.bus.Broadcast(peers.KindContentBroke, m)
 		}
-	}
+	})
 }
 
 // message is what the peers were not told yet.
--- a/internal/storefeed/delta.go
+++ b/internal/storefeed/delta.go
@@ -2,11 +2,10 @@
 
 import (
 	"bytes"
-	"compress/flate"
-	"io"
 
-	"github.com/fxamacker/cbor/v2"
 	"github.com/pkg/errors"
+
+	"github.com/basilrail/basilrail/internal/packed"
 )
 
 const (
@@ -16,8 +15,14 @@
 	// maxLarge bounds the values that are kept and that a patch may make: the store's
 	// pages hold 1 MB.
 	maxLarge = 1 << 20
+	// maxPlainBytes bounds a patch or the rows of a message before compression: new
+	// text and its steps.
+	maxPlainBytes = 2 * maxLarge
 )
 
+// codec packs patches and rows. One spare serves: readers alone pack.
+var codec = packed.NewCodec(nil, maxPlainBytes, 1)
+
 // rowDelta tells a large row's value as a change of the one before.
 type rowDelta struct {
 	Key      string `cbor:"1,keyasint"`
@@ -87,41 +92,14 @@
 
 // makePatch tells a value as a change of another one.
 func makePatch(before, after []byte) ([]byte, error) {
-	patch, err := pack(edits(before, after))
+	patch, err := codec.Pack(edits(before, after))
 	return patch, errors.Wrap(err, "pack the patch")
 }
 
-// pack encodes and compresses a value.
-func pack(value any) ([]byte, error) {
-	encoded, err := cbor.Marshal(value)
-	if err != nil {
-		return nil, errors.WithStack(err)
-	}
-	var packed bytes.Buffer
-	// The only error is a level that does not exist.
-	w, _ := flate.NewWriter(&packed, flate.DefaultCompression)
-	if _, err := w.Write(encoded); err != nil {
-		return nil, errors.WithStack(err)
-	}
-	if err := w.Close(); err != nil {
-		return nil, errors.WithStack(err)
-	}
-	return packed.Bytes(), nil
-}
-
-// unpack reads a value that pack made.
-func unpack(packed []byte, into any) error {
-	encoded, err := io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(packed)), 2*maxLarge))
-	if err != nil {
-		return errors.WithStack(err)
-	}
-	return errors.WithStack(cbor.Unmarshal(encoded, into))
-}
-
 // applyPatch makes the value that a patch tells.
 func applyPatch(before, patch []byte) ([]byte, error) {
 	var steps []edit
-	if err := unpack(patch, &steps); err != nil {
+	if err := codec.Unpack(patch, &steps); err != nil {
 		return nil, errors.Wrap(err, "unpack the patch")
 	}
 	var after []byte
--- a/internal/storefeed/messages.go
+++ b/internal/storefeed/messages.go
@@ -96,7 +96,7 @@
 	if size+patched <= maxRelayedBytes {
 		return true
 	}
-	packed, err := pack(m.Rows)
+	packed, err := codec.Pack(m.Rows)
 	if err != nil {
 		return false
 	}
@@ -152,7 +152,7 @@
 	if m.Revision <= t.revision {
 		return rows, true
 	}
-	if m.Packed != nil && unpack(m.Packed, &rows) != nil {
+	if m.Packed != nil && codec.Unpack(m.Packed, &rows) != nil {
 		return nil, false
 	}
 	for _, d := range m.Deltas {
--- a/internal/upgrade/sessions.go
+++ b/internal/upgrade/sessions.go
@@ -86,12 +86,6 @@
 	return min(maxTrialShare, keepMargin*m.record.TrialShare)
 }
 
-// mustTell reports whether peers should hear of kept sessions now. The caller
-// holds the lock.
-func (c *Controller) mustTell(m *move) bool {
-	return m.hasUntold && m.known && time.Since(m.sharedAt) >= time.Duration(len(c.Bus.Peers())+1)*untoldGap
-}
-
 // toldSession is a session that its teller saw on the old release.
 type toldSession struct {
 	Key sessionKey `cbor:"1,keyasint"`
--- a/internal/upgrade/step.go
+++ b/internal/upgrade/step.go
@@ -10,6 +10,7 @@
 	"github.com/basilrail/basilrail/internal/events"
 	"github.com/basilrail/basilrail/internal/peers"
 	"github.com/basilrail/basilrail/internal/statechart"
+	"github.com/basilrail/basilrail/internal/wait"
 )
 
 const (
@@ -37,18 +38,11 @@
 // Run works until the context ends.
 func (c *Controller) Run(ctx context.Context) {
 	epoch := uint64(time.Now().UnixNano())
-	ticker := time.NewTicker(stepEvery)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
+	wait.Every(ctx, stepEvery, func() {
 		for _, service := range c.inProgress() {
 			c.step(ctx, service, epoch)
 		}
-	}
+	})
 }
 
 func (c *Controller) inProgress() []string {
@@ -71,33 +65,38 @@
 	c.record(ctx, service)
 }
 
-// share tells the peers of this instance's evidence: of bad answers and of sessions
-// that stay on the old release at once, of good answers less often in a larger
-// fleet, whose messages add up.
+// share tells the peers of this instance's evidence, if it is time to.
 func (c *Controller) share(service string, epoch uint64) {
+	if message, due := c.dueEvidence(service, epoch); due {
+		c.Bus.Broadcast(peers.KindUpgradeEvidence, message)
+	}
+}
+
+// dueEvidence is the evidence to tell now: of bad answers and of sessions that stay
+// on the old release at once, of good answers less often in a larger fleet, whose
+// messages add up.
+func (c *Controller) dueEvidence(service string, epoch uint64) (message evidenceMessage, due bool) {
 	c.mu.Lock()
+	defer c.mu.Unlock()
 	m := c.moves[service]
 	if m == nil {
-		c.mu.Unlock()
-		return
+		return evidenceMessage{}, false
 	}
-	fleetGap := time.Duration(len(c.Bus.Peers())+1) * shareGap
+	instances := time.Duration(len(c.Bus.Peers()) + 1)
+	silence := time.Since(m.sharedAt)
 	bad := c.pool.badAnswers(m.order)
-	isDue := time.Since(m.sharedAt) >= fleetGap || bad != m.sharedBad || m.bad
-	if !isDue && !c.mustTell(m) {
-		c.mu.Unlock()
-		return
+	due = silence >= instances*shareGap || bad != m.sharedBad || m.bad
+	var kept []toldSession
+	if due || m.hasUntold && m.known && silence >= instances*untoldGap {
+		kept = c.toldSessions(m)
 	}
-	kept := c.toldSessions(m)
-	if !isDue && len(kept) == 0 {
-		c.mu.Unlock()
-		return
+	if !due && len(kept) == 0 {
+		return evidenceMessage{}, false
 	}
 	m.sharedAt, m.sharedBad = time.Now(), bad
-	message := c.pool.message(m.order, epoch, m.bad)
+	message = c.pool.message(m.order, epoch, m.bad)
 	message.Kept = kept
-	c.mu.Unlock()
-	c.Bus.Broadcast(peers.KindUpgradeEvidence, message)
+	return message, true
 }
 
 // look takes in the record as the store tells it, so that what another instance
--- a/internal/upgrade/upgrade.go
+++ b/internal/upgrade/upgrade.go
@@ -11,6 +11,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -303,12 +304,7 @@
 }
 
 func (c *Controller) serves(service, release string) bool {
-	for _, known := range c.Fleet.Snapshot().Releases(service) {
-		if known == release {
-			return true
-		}
-	}
-	return false
+	return slices.Contains(c.Fleet.Snapshot().Releases(service), release)
 }
 
 // Observe takes in how an attempt ended.
--- a/internal/wait/wait.go
+++ b/internal/wait/wait.go
@@ -21,3 +21,17 @@
 		return ctx.Err()
 	}
 }
+
+// Every calls a function at an interval until the context ends.
+func Every(ctx context.Context, interval time.Duration, f func()) {
+	ticker := time.NewTicker(interval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.C:
+			f()
+		case <-ctx.Done():
+			return
+		}
+	}
+}
