Derive what relaying and picking need once for each change of the lists

For every frame that was relayed, the mesh walked the list of instances three times and built a map of it; that now follows from SetPeers. The servers are sorted once, not once for each release and service; a server without a release stood twice among those near. What a lost history missed is worked out only where one was lost, not at each start.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -6,6 +6,7 @@
 package fleet
 
 import (
+	"maps"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -43,13 +44,23 @@
 	health *health
 }
 
+// byRelease lists servers by the release that they run, and all of them under the
+// empty one.
+type byRelease map[string][]*datastore.Server
+
+func (b byRelease) add(s *Server) {
+	b[""] = append(b[""], s.Server)
+	if release := s.Entry.Release; release != "" {
+		b[release] = append(b[release], s.Server)
+	}
+}
+
 // serviceIndex lists the servers of one service, in the order of their hashes.
 type serviceIndex struct {
-	all       []*Server
-	byRelease map[string][]*datastore.Server
-	// near are those of the own failure domain, by release.
-	near  map[string][]*datastore.Server
-	every []*datastore.Server
+	all        []*Server
+	candidates byRelease
+	// near are those of the own failure domain.
+	near byRelease
 }
 
 // Snapshot is the servers known at one moment. It never changes, but for what
@@ -88,14 +99,10 @@
 // Candidates lists the servers of a service that run a release, or of any
 // release where it is empty.
 func (s *Snapshot) Candidates(service, release string) []*datastore.Server {
-	index := s.byService[service]
-	switch {
-	case index == nil:
-		return nil
-	case release == "":
-		return index.every
+	if index := s.byService[service]; index != nil {
+		return index.candidates[release]
 	}
-	return index.byRelease[release]
+	return nil
 }
 
 // Each calls a function for every server.
@@ -294,32 +301,18 @@
 // publish builds the snapshot. The caller holds the lock.
 func (s *Set) publish() {
 	snap := &Snapshot{byID: make(map[string]*Server, len(s.servers)), byService: make(map[string]*serviceIndex)}
-	for id, server := range s.servers {
-		snap.byID[id] = server
+	servers := slices.SortedFunc(maps.Values(s.servers), func(a, b *Server) int { return datastore.CompareHashes(a.Server, b.Server) })
+	for _, server := range servers {
+		snap.byID[server.ID] = server
 		index := snap.byService[server.Entry.Service]
 		if index == nil {
-			index = &serviceIndex{
-				byRelease: make(map[string][]*datastore.Server),
-				near:      make(map[string][]*datastore.Server),
-			}
+			index = &serviceIndex{candidates: make(byRelease), near: make(byRelease)}
 			snap.byService[server.Entry.Service] = index
 		}
 		index.all = append(index.all, server)
-		index.every = append(index.every, server.Server)
-		index.byRelease[server.Entry.Release] = append(index.byRelease[server.Entry.Release], server.Server)
+		index.candidates.add(server)
 		if server.Entry.FailureDomain == s.domain {
-			index.near[server.Entry.Release] = append(index.near[server.Entry.Release], server.Server)
-			index.near[""] = append(index.near[""], server.Server)
-		}
-	}
-	for _, index := range snap.byService {
-		slices.SortFunc(index.all, func(a, b *Server) int { return datastore.CompareHashes(a.Server, b.Server) })
-		slices.SortFunc(index.every, datastore.CompareHashes)
-		for _, list := range index.byRelease {
-			slices.SortFunc(list, datastore.CompareHashes)
-		}
-		for _, list := range index.near {
-			slices.SortFunc(list, datastore.CompareHashes)
+			index.near.add(server)
 		}
 	}
 	s.current.Store(snap)
--- a/internal/peers/mesh/mesh.go
+++ b/internal/peers/mesh/mesh.go
@@ -69,6 +69,8 @@
 	mu       sync.Mutex
 	handlers map[peers.Kind]peers.Handler
 	others   []peers.Peer
+	// spread follows from others.
+	spread   spread
 	links    map[string]*link
 	spares   map[string]*spareLink
 	accepted int
@@ -94,6 +96,7 @@
 		spares:     make(map[string]*spareLink),
 		dials:      make(map[string]*dialState),
 	}
+	m.spread = m.topology.spread(nil)
 	if len(cfg.Secret) > 0 {
 		m.SetSecret(cfg.Secret)
 	}
@@ -130,7 +133,7 @@
 // SetPeers replaces the list of the other instances. It does not block.
 func (m *Mesh) SetPeers(others []peers.Peer) {
 	m.mu.Lock()
-	m.others = others
+	m.others, m.spread = others, m.topology.spread(others)
 	m.mu.Unlock()
 	select {
 	case m.changed <- struct{}{}:
@@ -192,17 +195,11 @@
 func (m *Mesh) fanOut(kind peers.Kind, from string) fanOut {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	out := fanOut{fullMesh: len(m.others) < FullMeshInstances}
-	domainMesh := m.topology.isDomainMesh(m.others)
-	inside := make(map[string]bool)
-	if m.topology.domain != "" {
-		for _, p := range m.others {
-			inside[p.ID] = p.FailureDomain == m.topology.domain
-		}
-	}
-	onlyOutside := domainMesh && from != "" && inside[from]
+	out := fanOut{fullMesh: m.spread.fullMesh}
+	inside := m.spread.inside
+	onlyOutside := m.spread.domainMesh && from != "" && inside[from]
 	// What comes from another domain has left it by all its links.
-	fromOutside := from != "" && !inside[from] && m.topology.isCloselyLinked(m.others)
+	fromOutside := from != "" && !inside[from] && m.spread.closelyLinked
 	onlyInside := (kind == peers.KindLoad || kind == peers.KindServerSilent) && m.topology.domain != ""
 	for id, l := range m.links {
 		if (onlyOutside && inside[id]) || ((onlyInside || fromOutside) && !inside[id]) {
--- a/internal/peers/mesh/topology.go
+++ b/internal/peers/mesh/topology.go
@@ -52,6 +52,30 @@
 	return union(chosen, onRings(t.self, others, rings, rings+outerRings))
 }
 
+// spread is what the relaying of broadcasts needs to know of a list of instances.
+type spread struct {
+	// inside are the instances of the own failure domain; empty without domains.
+	inside        map[string]bool
+	fullMesh      bool
+	domainMesh    bool
+	closelyLinked bool
+}
+
+func (t topology) spread(others []peers.Peer) spread {
+	s := spread{
+		inside:        make(map[string]bool),
+		fullMesh:      len(others) < FullMeshInstances,
+		domainMesh:    t.isDomainMesh(others),
+		closelyLinked: t.isCloselyLinked(others),
+	}
+	for _, p := range others {
+		if t.domain != "" && p.FailureDomain == t.domain {
+			s.inside[p.ID] = true
+		}
+	}
+	return s
+}
+
 // isDomainMesh reports whether all instances of the own domain are neighbours of
 // each other, so that nobody need relay to them.
 func (t topology) isDomainMesh(others []peers.Peer) bool {
--- a/internal/storefeed/table.go
+++ b/internal/storefeed/table.go
@@ -124,7 +124,7 @@
 	loaded, after, joined := t.loaded, t.revision, t.joined
 	catchingUp := !t.current || t.behind
 	longest := t.Wait
-	if !t.current || t.behind || joined || !t.readers.isReading() && !t.f.alone() || t.f.breaker.isOpen() {
+	if catchingUp || joined || !t.readers.isReading() && !t.f.alone() || t.f.breaker.isOpen() {
 		// A read of the whole table may be old; the feed's first answer tells. A call
 		// that tries a lost store must not keep the others waiting, nor one after which
 		// they hear of a new reader: else all of them join.
@@ -162,12 +162,15 @@
 func (t *table) reload(ctx context.Context, page *Page) error {
 	t.mu.Lock()
 	after := t.gapAfter
-	missed := t.missed(page, after)
+	var missed *Page
+	if after > 0 && t.readers.isReading() {
+		missed = t.missed(page, after)
+	}
 	t.mu.Unlock()
 	if err := t.load(page); err != nil {
 		return err
 	}
-	if after > 0 && t.readers.isReading() {
+	if missed != nil {
 		t.pass(ctx, change{After: after, Gap: true}, missed, false)
 	}
 	return nil
