--- a/internal/events/process.go
+++ b/internal/events/process.go
@@ -39,8 +39,10 @@
 		Number: 7008, Name: "process_state_changed", Level: logrus.InfoLevel,
 		Message: "the instance changed state; outcome is the new state, reason the event that caused it",
 	})
-	SettingsReloaded = register(Event{
-		Number: 7009, Name: "settings_reloaded", Level: logrus.InfoLevel,
-		Message: "the settings file was read again; if error is set, it is the reason why the previous settings stay in use",
+	// Number 7009 is retired.
+	SettingsChecked = register(Event{
+		Number: 7010, Name: "settings_checked", Level: logrus.InfoLevel,
+		Message: "the settings file was signalled or changed and was checked; the settings read at the start stay in use; error lists the file's faults",
+		Action:  "Correct the faults, if any; restart the instance to use the new settings.",
 	})
 )
--- a/internal/tablestore/memtable/memtable.go
+++ b/internal/tablestore/memtable/memtable.go
@@ -93,13 +93,14 @@
 		return tablestore.Result{Outcome: tablestore.OutcomeUnknown}, nil
 	}
 	result := t.apply(txn)
-	if t.faults.LoseAnswers {
-		return tablestore.Result{Outcome: tablestore.OutcomeUnknown}, t.onCommit
+	var hook func(tablestore.Txn)
+	if result.Outcome == tablestore.OutcomeCommitted {
+		hook = t.onCommit
 	}
-	if result.Outcome != tablestore.OutcomeCommitted {
-		return result, nil
+	if t.faults.LoseAnswers {
+		result = tablestore.Result{Outcome: tablestore.OutcomeUnknown}
 	}
-	return result, t.onCommit
+	return result, hook
 }
 
 func (t *Table) apply(txn tablestore.Txn) tablestore.Result {
