storefeed: Take over reading at once after a read of a stale table

Cause: the only instance whose call succeeded after an outage became a reader after a random delay of up to 1 s, and the others held off for 4 s. A change just after its call was in effect after a second or more. Change: an instance that read a stale table becomes a reader at once if fewer than three readers have sent anything since its last contact.

--- a/internal/storefeed/readers.go
+++ b/internal/storefeed/readers.go
@@ -74,6 +74,25 @@
 	return r.reading
 }
 
+// takeOver makes this instance a reader at once if too few readers have sent anything
+// after the given time, and reports whether it did. It is called after a read of a stale
+// table: the instances that did not read it wait for a reader.
+func (r *readers) takeOver(after time.Time) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.reading {
+		return false
+	}
+	heard := 0
+	for _, at := range r.lastSeen {
+		if at.After(after) {
+			heard++
+		}
+	}
+	r.reading = heard < targetReaders
+	return r.reading
+}
+
 // isReading reports whether this instance reads for the others.
 func (r *readers) isReading() bool {
 	r.mu.Lock()
--- a/internal/storefeed/storefeed_test.go
+++ b/internal/storefeed/storefeed_test.go
@@ -35,6 +35,9 @@
 	// stale is an old page that scans return instead of the current rows.
 	stale   *Page
 	changed chan struct{}
+	// afterAnswer, if set, runs once, after the store has computed its next answer to a
+	// feed and before the instance receives it.
+	afterAnswer func()
 }
 
 func newFakeStore() *fakeStore {
@@ -136,7 +139,8 @@
 			}
 		}
 		s.mu.Unlock()
-		if err != nil || len(page.Rows) > 0 {
+		if err != nil || len(page.Rows) > 0 || wait == 0 {
+			s.runAfterAnswer()
 			return page, err
 		}
 		select {
@@ -150,6 +154,16 @@
 	return nil, err
 }
 
+func (s *fakeStore) runAfterAnswer() {
+	s.mu.Lock()
+	hook := s.afterAnswer
+	s.afterAnswer = nil
+	s.mu.Unlock()
+	if hook != nil {
+		hook()
+	}
+}
+
 // member is one instance under test.
 type member struct {
 	name      string
@@ -158,6 +172,8 @@
 	values    map[string]string
 	confirmed time.Duration
 	uncertain time.Duration
+	// changedAt holds the time of the last change of each row.
+	changedAt map[string]time.Time
 }
 
 func (m *member) apply(rows []Row, complete bool, uncertain time.Duration) {
@@ -168,10 +184,20 @@
 	}
 	m.uncertain = uncertain
 	for _, row := range rows {
+		if m.values[row.Key] != string(row.Value) {
+			m.changedAt[row.Key] = time.Now()
+		}
 		m.values[row.Key] = string(row.Value)
 	}
 }
 
+// since returns when the instance received the present value of a row.
+func (m *member) since(key string) time.Time {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.changedAt[key]
+}
+
 func (m *member) value(key string) string {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -218,7 +244,7 @@
 	f := &testFleet{store: newFakeStore(), network: membus.New()}
 	f.store.put("a", "1")
 	for i := range n {
-		m := &member{name: fmt.Sprintf("i%02d", i), values: make(map[string]string)}
+		m := &member{name: fmt.Sprintf("i%02d", i), values: make(map[string]string), changedAt: make(map[string]time.Time)}
 		m.follower = New(Options{Bus: countingBus{f.network.Join(m.name, "d"), &f.broadcasts}, Source: storeClient{f.store, m.name}})
 		m.follower.Add(Table{
 			Name: "t", Wait: times.Wait, StaleAfter: times.StaleAfter, Apply: m.apply,
@@ -409,6 +435,34 @@
 	})
 }
 
+// TestFirstCallAfterAnOutageJustBeforeAChange covers the order in which the first call
+// that succeeds after an outage misses a change, while the other instances hold off.
+func TestFirstCallAfterAnOutageJustBeforeAChange(t *testing.T) {
+	for run := range 25 {
+		t.Run(fmt.Sprint(run), func(t *testing.T) {
+			withFleet(t, 40, func(t *testing.T, f *testFleet) {
+				time.Sleep(10 * time.Second)
+				f.store.setDown("", true)
+				time.Sleep(10 * time.Second)
+				var changed time.Time
+				f.store.mu.Lock()
+				f.store.afterAnswer = func() {
+					f.store.put("a", "after")
+					changed = time.Now()
+				}
+				f.store.mu.Unlock()
+				f.store.setDown("", false)
+				time.Sleep(5 * time.Second)
+				require.False(t, changed.IsZero())
+				for _, m := range f.members {
+					require.Equal(t, "after", m.value("a"), m.name)
+					require.Less(t, m.since("a").Sub(changed), time.Second, m.name)
+				}
+			})
+		})
+	}
+}
+
 func TestLostHistoryTriggersFullRead(t *testing.T) {
 	withFleet(t, 4, func(t *testing.T, f *testFleet) {
 		time.Sleep(5 * time.Second)
--- a/internal/storefeed/table.go
+++ b/internal/storefeed/table.go
@@ -126,6 +126,8 @@
 	t.mu.Lock()
 	loaded, after, justJoined := t.loaded, t.revision, t.justJoined
 	catchingUp := !t.current || t.behind
+	lastContact := t.lastContact
+	isStale := loaded && time.Since(lastContact) > t.StaleAfter
 	feedWait := t.Wait
 	if catchingUp || justJoined || !t.readers.isReading() && !t.f.isolated() || t.f.breaker.isOpen() {
 		// Ask for an immediate answer. A full read may be stale, which the first answer
@@ -151,6 +153,9 @@
 		return err
 	}
 	t.applyPage(page)
+	if isStale && !t.f.isolated() && t.readers.takeOver(lastContact) {
+		justJoined = true
+	}
 	// An instance that only catches up has no changes that the others lack.
 	if t.readers.isReading() || !catchingUp {
 		t.publish(ctx, change{After: after}, page, justJoined)
