--- a/internal/events/events.go
+++ b/internal/events/events.go
@@ -41,13 +41,15 @@
 	Path      string
 	Address   string
 	Revision  uint64
-	Count     int
-	Duration  time.Duration
-	Reason    string
-	Model     string
-	Outcome   string
-	Status    int
-	Load      float64
+	// Era is the era of the platform's store.
+	Era      uint64
+	Count    int
+	Duration time.Duration
+	Reason   string
+	Model    string
+	Outcome  string
+	Status   int
+	Load     float64
 	// Latency is the time to the first chunk of the response.
 	Latency    time.Duration
 	RetryAfter time.Duration
@@ -149,6 +151,9 @@
 	if f.Revision != 0 {
 		v.unsigned("revision", f.Revision)
 	}
+	if f.Era != 0 {
+		v.unsigned("era", f.Era)
+	}
 	if f.Load != 0 {
 		v.float("load", math.Round(f.Load*100)/100)
 	}
--- a/internal/events/servers.go
+++ b/internal/events/servers.go
@@ -63,6 +63,19 @@
 		Message: "an entry in the list of backend servers is invalid; the other entries stay in use",
 		Action:  "Find the writer of the entry; the error states what is invalid.",
 	})
+	ServerHeld = register(Event{
+		Number: 6015, Name: "server_held", Level: logrus.InfoLevel,
+		Message: "a restored store lists a backend server that had left; it gets work only if its registration stays",
+	})
+	ServerLeaving = register(Event{
+		Number: 6016, Name: "server_leaving", Level: logrus.InfoLevel,
+		Message: "a backend server announced in an answer that it is leaving, here or to the instance in peer; it gets no new work",
+	})
+	ServerPaused = register(Event{
+		Number: 6017, Name: "server_paused", Level: logrus.InfoLevel,
+		Message: "a backend server refused a request and asked this instance to send nothing for the time in retry_after_ms",
+		Action:  "If it repeats for many servers, the service lacks capacity.",
+	})
 	ContentDisconnectsServers = register(Event{
 		Number: 6014, Name: "content_breaks_servers", Level: logrus.ErrorLevel,
 		Message: "several servers disconnected, one after another, while running the same request; it is refused temporarily",
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -34,8 +34,14 @@
 	Draining bool
 	// Models are the loaded models; empty for a plain service.
 	Models []string
+	// Era is the era of the store in which the registration was read. A store that was
+	// restored from a copy may hold earlier registrations in a later era.
+	Era uint64
 }
 
+// process returns the server process that the registration describes.
+func (r *Registration) process() process { return process{id: r.ID, started: r.Started} }
+
 // Server is a backend server with one id and start time.
 type Server struct {
 	*datastore.Server
@@ -164,17 +170,25 @@
 	log    *events.Logger
 	domain string
 
-	mu      sync.Mutex
+	mu sync.Mutex
+	// era is the latest era of the registrations.
+	era     uint64
 	servers map[string]*Server
 	// missing holds the removal timers of servers whose registration disappeared
 	// although they may still run.
 	missing map[string]*time.Timer
-	current atomic.Pointer[Snapshot]
+	// held holds the timers of registrations that may be those of departed servers.
+	held       map[string]*time.Timer
+	departures *departures
+	current    atomic.Pointer[Snapshot]
 }
 
 // NewSet returns an empty set for an instance in the given failure domain.
 func NewSet(domain string, log *events.Logger) *Set {
-	s := &Set{log: log, domain: domain, servers: make(map[string]*Server), missing: make(map[string]*time.Timer)}
+	s := &Set{
+		log: log, domain: domain, servers: make(map[string]*Server),
+		missing: make(map[string]*time.Timer), held: make(map[string]*time.Timer), departures: newDepartures(),
+	}
 	s.publish()
 	return s
 }
@@ -183,11 +197,22 @@
 func (s *Set) Snapshot() *Snapshot { return s.current.Load() }
 
 // Put adds or updates registrations.
-func (s *Set) Put(list ...Registration) {
+func (s *Set) Put(list ...Registration) { s.PutUncertain(0, list...) }
+
+// PutUncertain adds or updates registrations, some of which may be outdated for the
+// given time because the store was restored: a server that departed in an earlier era
+// returns only if its registration is still there after departedHold.
+func (s *Set) PutUncertain(uncertainFor time.Duration, list ...Registration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	changed := false
 	for _, r := range list {
+		s.era = max(s.era, r.Era)
+		s.release(r.ID)
+		if uncertainFor > 0 && s.servers[r.ID] == nil && s.departures.hasDeparted(r) {
+			s.hold(r)
+			continue
+		}
 		changed = s.put(r) || changed
 	}
 	if changed {
@@ -203,6 +228,7 @@
 		delete(s.missing, r.ID)
 	}
 	old := s.servers[r.ID]
+	r.Draining = s.departures.isDraining(r)
 	if old != nil && old.same(r) {
 		return false
 	}
@@ -252,10 +278,44 @@
 	return server
 }
 
+// hold puts a registration after departedHold, unless the server registers or
+// deregisters before. The caller holds the lock.
+func (s *Set) hold(r Registration) {
+	s.log.Log(events.ServerHeld, events.Fields{Server: r.ID, Version: r.Release, Path: r.Service, Era: r.Era})
+	s.held[r.ID] = time.AfterFunc(departedHold, func() { s.Put(r) })
+}
+
+// release drops a held registration. The caller holds the lock.
+func (s *Set) release(id string) {
+	if timer := s.held[id]; timer != nil {
+		timer.Stop()
+		delete(s.held, id)
+	}
+}
+
+// MarkLeaving records that a server process announced that it is leaving, in an answer or
+// to a peer, and reports whether that is new. The process gets no new work any more,
+// whatever its registration says. It may be unknown here so far.
+func (s *Set) MarkLeaving(id string, started int64) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	server := s.servers[id]
+	isCurrent := server != nil && server.Registration.Started == started
+	if !s.departures.markLeaving(process{id: id, started: started}) {
+		return false
+	}
+	if isCurrent && !server.Registration.Draining {
+		s.put(server.Registration)
+		s.publish()
+	}
+	return true
+}
+
 // Remove removes a server that deregistered.
 func (s *Set) Remove(id string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.release(id)
 	if _, known := s.servers[id]; known {
 		s.remove(id)
 		s.publish()
@@ -266,6 +326,7 @@
 func (s *Set) remove(id string) {
 	server := s.servers[id]
 	delete(s.servers, id)
+	s.departures.add(server.Registration, s.era)
 	if timer := s.missing[id]; timer != nil {
 		timer.Stop()
 		delete(s.missing, id)
--- a/internal/peers/bus.go
+++ b/internal/peers/bus.go
@@ -52,11 +52,13 @@
 )
 
 // KindUpgradeEvidence carries the sender's counts of good and bad answers by release,
-// whether it has marked the new release as bad, and its session pins.
-const KindUpgradeEvidence Kind = 25
+// whether it has marked the new release as bad, and its session pins. Kind 25 was the
+// same without eras of the store.
+const KindUpgradeEvidence Kind = 30
 
 // KindTableChange carries the changes of a table that a reader of the store observed.
-const KindTableChange Kind = 26
+// Kind 26 was the same without eras of the store.
+const KindTableChange Kind = 31
 
 // KindLoad reports the sender's load in flight at each backend server to the instances
 // of its failure domain.
--- a/internal/storefeed/breaker.go
+++ b/internal/storefeed/breaker.go
@@ -20,6 +20,9 @@
 	// readHoldOff is the time after a failure during which an instance that receives
 	// its peers' changes does not read the store itself.
 	readHoldOff = 4 * time.Second
+	// readerRetryTime is how long after the first of its failures a reader continues to
+	// call: the store may have been away only for a moment for all readers.
+	readerRetryTime = 1200 * time.Millisecond
 )
 
 // breaker is a circuit breaker for calls to the store. After a failure it admits
@@ -29,7 +32,9 @@
 	failures int
 	retryAt  time.Time
 	failedAt time.Time
-	probing  bool
+	// failingSince is the time of the first failure after the last success.
+	failingSince time.Time
+	probing      bool
 }
 
 // allow reports whether a call may be made now. The caller must report the end of
@@ -61,6 +66,13 @@
 	return b.failures > 0 && time.Since(b.failedAt) < readHoldOff
 }
 
+// failingLong reports whether all calls of more than readerRetryTime failed.
+func (b *breaker) failingLong() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.failures > 0 && time.Since(b.failingSince) > readerRetryTime
+}
+
 // done records whether a call failed.
 func (b *breaker) done(failed bool) {
 	b.mu.Lock()
@@ -70,6 +82,9 @@
 		b.failures = 0
 		return
 	}
+	if b.failures == 0 {
+		b.failingSince = time.Now()
+	}
 	interval := min(minRetryInterval<<min(b.failures, 8), maxRetryInterval)
 	b.failures++
 	b.failedAt = time.Now()
--- a/internal/storefeed/delta.go
+++ b/internal/storefeed/delta.go
@@ -9,11 +9,11 @@
 )
 
 const (
-	// minLargeBytes is the size from which a row's value is cached, so that its next
-	// change can be sent as a patch.
+	// minLargeBytes is the size from which a row's change is sent as a patch of its
+	// previous value.
 	minLargeBytes = 2 << 10
-	// maxLargeBytes bounds the values that are cached and those that a patch may
-	// produce: the store's pages hold 1 MB.
+	// maxLargeBytes bounds the values from which patches are made and those that a patch
+	// may produce: the store's pages hold 1 MB.
 	maxLargeBytes = 1 << 20
 	// maxUncompressedBytes bounds a patch (new text and steps) or the rows of a message
 	// before compression.
@@ -41,56 +41,35 @@
 	Text   []byte `cbor:"3,keyasint,omitempty"`
 }
 
-// largeRow holds the latest and the previous revision of a large row.
-type largeRow struct {
-	current, previous Row
-}
-
-// cacheLarge caches the values of large rows. The caller holds the lock.
-func (t *table) cacheLarge(rows []Row) {
-	for _, row := range rows {
-		if row.Deleted || len(row.Value) < minLargeBytes || len(row.Value) > maxLargeBytes {
-			delete(t.large, row.Key)
-			continue
-		}
-		cached := t.large[row.Key]
-		if row.Revision <= cached.current.Revision {
-			continue
-		}
-		next := largeRow{current: row}
-		// Only readers make patches.
-		if t.readers.isReading() {
-			next.previous = cached.current
-		}
-		t.large[row.Key] = next
-	}
-}
+// isLarge reports whether changes of the row are sent as patches of its value.
+func isLarge(row Row) bool { return len(row.Value) >= minLargeBytes && len(row.Value) <= maxLargeBytes }
 
-// deltaOf returns a row as a patch; ok is false if the previous value is not cached.
+// deltaOf returns a row as a patch; ok is false if its previous value is not known. The
+// caller holds the lock.
 func (t *table) deltaOf(row Row) (d rowDelta, ok bool) {
-	cached := t.large[row.Key]
-	if row.Deleted || cached.current.Revision != row.Revision || cached.previous.Revision == 0 {
+	previous, known := t.patched[row.Key]
+	if row.Deleted || !known || t.rows[row.Key].Position() != row.Position() {
 		return rowDelta{}, false
 	}
-	patch, err := makePatch(cached.previous.Value, row.Value)
+	patch, err := makePatch(previous.Value, row.Value)
 	if err != nil {
 		return rowDelta{}, false
 	}
-	return rowDelta{Key: row.Key, Revision: row.Revision, Base: cached.previous.Revision, Patch: patch}, true
+	return rowDelta{Key: row.Key, Revision: row.Revision, Base: previous.Revision, Patch: patch}, true
 }
 
-// applyDelta returns the row that a delta leads to; ok is false if its base is not
-// the cached revision or the patch is invalid.
-func (t *table) applyDelta(d rowDelta) (row Row, ok bool) {
-	cached := t.large[d.Key]
-	if cached.current.Revision != d.Base {
+// applyDelta returns the row, of the given era, that a delta leads to; ok is false if its
+// base is not the known revision or the patch is invalid. The caller holds the lock.
+func (t *table) applyDelta(d rowDelta, era uint64) (row Row, ok bool) {
+	known, exists := t.rows[d.Key]
+	if !exists || known.Revision != d.Base {
 		return Row{}, false
 	}
-	value, err := applyPatch(cached.current.Value, d.Patch)
+	value, err := applyPatch(known.Value, d.Patch)
 	if err != nil {
 		return Row{}, false
 	}
-	return Row{Key: d.Key, Value: value, Revision: d.Revision}, true
+	return Row{Key: d.Key, Value: value, Revision: d.Revision, Era: era}, true
 }
 
 // makePatch encodes the steps that turn one value into another.
--- a/internal/storefeed/messages.go
+++ b/internal/storefeed/messages.go
@@ -20,10 +20,10 @@
 // change is the body of peers.KindTableChange.
 type change struct {
 	Table string `cbor:"1,keyasint"`
-	// After is the revision after which Rows, Deltas and Compressed start. They lead to
-	// Revision.
-	After    uint64 `cbor:"2,keyasint"`
-	Revision uint64 `cbor:"3,keyasint"`
+	// Base is the position after which Rows, Deltas and Compressed start. They lead to
+	// Position. If that is of a later era, they lead there only from exactly Base.
+	Base     Position `cbor:"2,keyasint"`
+	Position Position `cbor:"3,keyasint"`
 	// Now is the store's monotonic clock when it answered, in nanoseconds.
 	Now  int64 `cbor:"4,keyasint"`
 	Rows []Row `cbor:"5,keyasint,omitempty"`
@@ -35,7 +35,7 @@
 	Deltas []rowDelta `cbor:"8,keyasint,omitempty"`
 	// Compressed replaces Rows if these would be too large uncompressed.
 	Compressed []byte `cbor:"9,keyasint,omitempty"`
-	// Gap means that the store lost the history between After and Revision: rows may be
+	// Gap means that the store lost the history between Base and Position: rows may be
 	// missing because of that loss and not because they were deleted.
 	Gap bool `cbor:"10,keyasint,omitempty"`
 }
@@ -49,27 +49,31 @@
 		_ = wait.For(ctx, delay)
 	}
 	t.mu.Lock()
-	known := t.publishedRevision >= page.Revision && t.publishedNow+t.Wait/2 >= page.Now
+	known := !t.published.Before(page.Position) && t.publishedNow+t.Wait/2 >= page.Now &&
+		(t.publishedSettled || t.f.unsettledFor() > 0)
 	if known && !joined && time.Since(t.lastPublished) < announceInterval {
 		t.mu.Unlock()
 		return
 	}
 	t.lastPublished = time.Now()
-	t.notePublished(page.Revision, page.Now)
+	t.notePublished(page.Position, page.Now)
 	t.mu.Unlock()
 	t.broadcast(m, page)
 }
 
-// notePublished records the latest revision and store time that any instance has
+// notePublished records the latest position and store time that any instance has
 // broadcast. The caller holds the lock.
-func (t *table) notePublished(revision uint64, now time.Duration) {
-	t.publishedRevision = max(t.publishedRevision, revision)
+func (t *table) notePublished(position Position, now time.Duration) {
+	if t.published.Before(position) {
+		t.published = position
+	}
 	t.publishedNow = max(t.publishedNow, now)
+	t.publishedSettled = t.f.unsettledFor() == 0
 }
 
 // broadcast sends an answer of the store to all instances.
 func (t *table) broadcast(m change, page *Page) {
-	m.Table, m.Revision, m.Now = t.Name, page.Revision, int64(page.Now)
+	m.Table, m.Position, m.Now = t.Name, page.Position, int64(page.Now)
 	m.Rows, m.Reads = page.Rows, t.readers.isReading()
 	if !t.compact(&m) {
 		m.Rows, m.Deltas, m.Compressed, m.Partial = nil, nil, nil, true
@@ -117,53 +121,111 @@
 	if t == nil {
 		return nil, nil
 	}
-	if m.Reads {
-		t.readers.observe(msg.From)
-	}
-	f.breaker.peerReachedStore()
-	t.merge(m)
+	t.merge(msg.From, m)
 	return nil, nil
 }
 
-// merge applies a peer's change if it continues from the known revision. Otherwise
-// the instance reads the store.
-func (t *table) merge(m change) {
+// merge applies a peer's change if it continues from the known position. Otherwise the
+// instance reads the store. A change of an earlier era is ignored: its sender has not
+// seen yet that the store was restored.
+func (t *table) merge(from string, m change) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.notePublished(m.Revision, time.Duration(m.Now))
-	if !t.loaded {
+	if m.Position.Era < t.position.Era {
 		return
 	}
+	if m.Reads {
+		t.readers.observe(from)
+	}
+	t.f.breaker.peerReachedStore()
+	t.notePublished(m.Position, time.Duration(m.Now))
+	switch {
+	case !t.loaded:
+	case m.Position.Era > t.position.Era:
+		t.mergeEra(m)
+	default:
+		t.mergeChange(m)
+	}
+}
+
+// mergeChange applies a change of the table's era. The caller holds the lock.
+func (t *table) mergeChange(m change) {
 	rows, complete := t.decodeRows(m)
-	if m.Revision > t.revision && (m.Partial || m.After > t.revision || !complete) {
+	if t.position.Before(m.Position) && (m.Partial || t.position.Before(m.Base) || !complete) {
 		t.behind = true
 		t.wakeUp()
 		return
 	}
 	t.noteContact()
-	if m.Gap && m.Revision > t.revision {
+	if m.Gap && t.position.Before(m.Position) {
 		t.outageEnd = time.Now()
 	}
-	t.apply(rows, m.Revision)
+	t.apply(rows, m.Position)
 	t.current = true
 	t.confirm(time.Duration(m.Now))
 }
 
+// mergeEra applies a change that leads to a later era. The caller holds the lock.
+func (t *table) mergeEra(m change) {
+	t.f.era.observe(m.Position.Era)
+	rows, complete := t.decodeRows(m)
+	if m.Base != t.position || m.Partial || !complete {
+		t.needReload(t.position)
+		t.wakeUp()
+		return
+	}
+	t.noteContact()
+	t.enterEra(m.Position, countDeleted(rows))
+	t.keepRows(rows)
+	t.Apply(t.rowsInEra(m.Position.Era), true, t.uncertainFor())
+	t.position = m.Position
+	// The first own answer of the store relates its clock to the local one.
+	t.current = t.Confirmed == nil
+	t.confirm(time.Duration(m.Now))
+}
+
+// rowsInEra returns all rows, in the order of their revisions, as rows of an era in which
+// none of them has changed. The caller holds the lock.
+func (t *table) rowsInEra(era uint64) []Row {
+	rows := make([]Row, 0, len(t.rows))
+	for key, row := range t.rows {
+		row.Era = era
+		t.rows[key] = row
+		rows = append(rows, row)
+	}
+	slices.SortFunc(rows, func(a, b Row) int { return cmp.Compare(a.Revision, b.Revision) })
+	return rows
+}
+
+func countDeleted(rows []Row) int {
+	n := 0
+	for _, row := range rows {
+		if row.Deleted {
+			n++
+		}
+	}
+	return n
+}
+
 // decodeRows returns the rows of a message in the order of their revisions. Complete
-// is false if the rows can't be decompressed or a patch does not apply.
+// is false if the rows can't be decompressed or a patch does not apply. The caller holds
+// the lock.
 func (t *table) decodeRows(m change) (rows []Row, complete bool) {
 	rows = m.Rows
-	if m.Revision <= t.revision {
-		return rows, true
+	if !t.position.Before(m.Position) {
+		return nil, true
 	}
 	if m.Compressed != nil && codec.Decode(m.Compressed, &rows) != nil {
 		return nil, false
 	}
+	for i := range rows {
+		rows[i].Era = m.Position.Era
+	}
 	for _, d := range m.Deltas {
-		if d.Revision <= t.revision {
+		if m.Position.Era == t.position.Era && d.Revision <= t.position.Revision {
 			continue
 		}
-		row, ok := t.applyDelta(d)
+		row, ok := t.applyDelta(d, m.Position.Era)
 		if !ok {
 			return nil, false
 		}
--- a/internal/storefeed/storefeed.go
+++ b/internal/storefeed/storefeed.go
@@ -33,23 +33,32 @@
 	Revision uint64 `cbor:"3,keyasint"`
 	// Deleted marks a deleted row. Only feeds return deleted rows.
 	Deleted bool `cbor:"4,keyasint,omitempty"`
+	// Era is the era of the store in which the row was read. In messages it is that of
+	// the message.
+	Era uint64 `cbor:"-"`
 }
 
+// Position returns the row's revision with its era.
+func (r Row) Position() Position { return Position{Era: r.Era, Revision: r.Revision} }
+
 // Page is an answer of the store.
 type Page struct {
+	// Rows are of the era of Position.
 	Rows []Row
-	// Revision is the latest revision of the store that the rows reflect.
-	Revision uint64
+	// Position is the latest state of the store that the rows reflect.
+	Position Position
 	// Now is the store's monotonic clock when it answered.
 	Now time.Duration
 }
 
 // Source reads tables of the store.
 type Source interface {
-	// Scan reads a complete table.
+	// Scan reads a complete table, in one era.
 	Scan(ctx context.Context, table string) (*Page, error)
 	// Feed returns the changes after a revision. It waits up to the given time for a
 	// first change and returns ErrHistoryGone if it can't continue from the revision.
+	// The answer may be of a later era than the revision; its rows are then not the
+	// changes that the caller lacks.
 	Feed(ctx context.Context, table string, after uint64, wait time.Duration) (*Page, error)
 }
 
@@ -66,11 +75,13 @@
 	StaleAfter time.Duration
 	// Apply applies changed rows in the order of their revisions. Complete means that
 	// they are all rows of the table. For the duration uncertainFor, rows may be missing
-	// because of an outage of the store, and not because they were deleted. Apply is not
-	// called concurrently.
+	// because of an outage of the store, and not because they were deleted; after a
+	// restore of the store they may also have an earlier content. Apply is not called
+	// concurrently.
 	Apply func(rows []Row, complete bool, uncertainFor time.Duration)
 	// Confirmed, if set, is called when all changes up to a time of the store's clock are
-	// applied. Without it a full read counts as current until a peer reports a change.
+	// applied, also those that a restored store had lost and that were written again.
+	// Without it a full read counts as current until a peer reports a change.
 	Confirmed func(at time.Duration)
 }
 
@@ -79,6 +90,10 @@
 	Bus    peers.Bus
 	Source Source
 	Log    *events.Logger
+	// EraRecorded reports whether it is known that all that an era's restore lost has
+	// been written again. If nil, or false, this counts as done recoveryWindow after the
+	// instance first saw the era.
+	EraRecorded func(era uint64) bool
 }
 
 // Follower keeps tables up to date. All tables must be added before Run.
@@ -86,6 +101,7 @@
 	Options
 	tables  map[string]*table
 	breaker breaker
+	era     eraClock
 }
 
 // New makes a Follower and registers its message handler.
@@ -101,8 +117,8 @@
 		Table:   t,
 		f:       f,
 		wake:    make(chan struct{}, 1),
-		large:   make(map[string]largeRow),
-		keys:    make(map[string]bool),
+		rows:    make(map[string]Row),
+		patched: make(map[string]Row),
 		readers: newReaders(t, f.Bus.Self()),
 	}
 }
--- a/internal/storefeed/storefeed_test.go
+++ b/internal/storefeed/storefeed_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"fmt"
+	"maps"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -24,6 +26,7 @@
 type fakeStore struct {
 	mu       sync.Mutex
 	started  time.Time
+	era      uint64
 	revision uint64
 	rows     map[string]Row
 	log      []Row
@@ -48,13 +51,54 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.revision++
-	row := Row{Key: key, Value: []byte(value), Revision: s.revision}
-	s.rows[key] = row
+	s.apply(Row{Key: key, Value: []byte(value), Revision: s.revision})
+}
+
+func (s *fakeStore) remove(key string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.revision++
+	s.apply(Row{Key: key, Revision: s.revision, Deleted: true})
+}
+
+// apply applies a change of a row. The caller holds the lock.
+func (s *fakeStore) apply(row Row) {
+	if row.Deleted {
+		delete(s.rows, row.Key)
+	} else {
+		s.rows[row.Key] = row
+	}
 	s.log = append(s.log, row)
 	close(s.changed)
 	s.changed = make(chan struct{})
 }
 
+// storeCopy is a copy of the store's content.
+type storeCopy struct {
+	revision uint64
+	rows     map[string]Row
+	log      []Row
+}
+
+func (s *fakeStore) copy() storeCopy {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return storeCopy{revision: s.revision, rows: maps.Clone(s.rows), log: slices.Clone(s.log)}
+}
+
+// restore replaces the content by a copy and begins a new era.
+func (s *fakeStore) restore(c storeCopy) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.era++
+	s.revision, s.rows, s.log = c.revision, maps.Clone(c.rows), slices.Clone(c.log)
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// position returns the store's latest position. The caller holds the lock.
+func (s *fakeStore) position() Position { return Position{Era: s.era, Revision: s.revision} }
+
 // change updates the store's rows and wakes waiting feeds.
 func (s *fakeStore) change(update func()) {
 	s.mu.Lock()
@@ -114,8 +158,9 @@
 	if s.stale != nil {
 		return s.stale, nil
 	}
-	page := &Page{Revision: s.revision, Now: time.Since(s.started)}
+	page := &Page{Position: s.position(), Now: time.Since(s.started)}
 	for _, row := range s.rows {
+		row.Era = s.era
 		page.Rows = append(page.Rows, row)
 	}
 	return page, nil
@@ -126,15 +171,20 @@
 	deadline := time.After(wait)
 	s.mu.Lock()
 	err := c.admit()
+	era := s.era
 	s.mu.Unlock()
 	for err == nil {
 		s.mu.Lock()
-		page, changed := &Page{Revision: s.revision, Now: time.Since(s.started)}, s.changed
-		if after+1 < s.oldest {
+		page, changed := &Page{Position: s.position(), Now: time.Since(s.started)}, s.changed
+		switch {
+		case s.era != era:
+			err = errDown // the restore breaks the connections
+		case after+1 < s.oldest, after > s.revision:
 			err = ErrHistoryGone
 		}
 		for _, row := range s.log {
 			if row.Revision > after {
+				row.Era = s.era
 				page.Rows = append(page.Rows, row)
 			}
 		}
@@ -147,7 +197,13 @@
 		case <-ctx.Done():
 			return nil, ctx.Err()
 		case <-deadline:
-			return page, nil
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			page.Now = time.Since(s.started)
+			if s.down[""] || s.down[c.instance] {
+				err = errDown
+			}
+			return page, err
 		case <-changed:
 		}
 	}
@@ -184,6 +240,10 @@
 	}
 	m.uncertain = uncertain
 	for _, row := range rows {
+		if row.Deleted {
+			delete(m.values, row.Key)
+			continue
+		}
 		if m.values[row.Key] != string(row.Value) {
 			m.changedAt[row.Key] = time.Now()
 		}
@@ -210,6 +270,18 @@
 	return m.uncertain
 }
 
+func (m *member) confirm(at time.Duration) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.confirmed = max(m.confirmed, at)
+}
+
+func (m *member) confirmedAt() time.Duration {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.confirmed
+}
+
 func (m *member) age(s *fakeStore) time.Duration {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -247,12 +319,7 @@
 		m := &member{name: fmt.Sprintf("i%02d", i), values: make(map[string]string), changedAt: make(map[string]time.Time)}
 		m.follower = New(Options{Bus: countingBus{f.network.Join(m.name, "d"), &f.broadcasts}, Source: storeClient{f.store, m.name}})
 		m.follower.Add(Table{
-			Name: "t", Wait: times.Wait, StaleAfter: times.StaleAfter, Apply: m.apply,
-			Confirmed: func(at time.Duration) {
-				m.mu.Lock()
-				defer m.mu.Unlock()
-				m.confirmed = max(m.confirmed, at)
-			},
+			Name: "t", Wait: times.Wait, StaleAfter: times.StaleAfter, Apply: m.apply, Confirmed: m.confirm,
 		})
 		f.members = append(f.members, m)
 	}
@@ -515,7 +582,7 @@
 			if m.follower.TablesRead() == 0 {
 				table := m.follower.tables["t"]
 				table.mu.Lock()
-				table.behind, table.revision = true, 1
+				table.behind, table.position.Revision = true, 1
 				table.mu.Unlock()
 			}
 		}
@@ -530,7 +597,7 @@
 		f.store.put("a", "new")
 		time.Sleep(time.Second)
 		f.store.mu.Lock()
-		f.store.stale = &Page{Revision: 1, Rows: []Row{{Key: "a", Value: []byte("1"), Revision: 1}}}
+		f.store.stale = &Page{Position: Position{Revision: 1}, Rows: []Row{{Key: "a", Value: []byte("1"), Revision: 1}}}
 		f.store.mu.Unlock()
 		f.store.setDown("", true)
 		time.Sleep(time.Second)
@@ -556,7 +623,7 @@
 		sentAt := time.Since(f.store.started)
 		time.Sleep(6 * time.Second)
 		m := f.members[0]
-		m.follower.tables["t"].merge(change{Table: "t", After: 1, Revision: 1, Now: int64(sentAt)})
+		m.follower.tables["t"].merge("i", change{Table: "t", Base: Position{Revision: 1}, Position: Position{Revision: 1}, Now: int64(sentAt)})
 		require.GreaterOrEqual(t, m.age(f.store), 6*time.Second)
 		cancel()
 		synctest.Wait()
--- a/internal/storefeed/table.go
+++ b/internal/storefeed/table.go
@@ -1,7 +1,9 @@
 package storefeed
 
 import (
+	"bytes"
 	"context"
+	"maps"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -39,17 +41,23 @@
 	readers *readers
 	wake    chan struct{}
 
-	mu       sync.Mutex
-	revision uint64
-	loaded   bool
+	mu sync.Mutex
+	// position is the state of the store that the rows reflect.
+	position Position
+	// loaded means that the rows are complete up to position, from where a feed can
+	// continue.
+	loaded bool
 	// current means that a feed has answered since the last full read.
 	current bool
 	// justJoined means that this instance has become a reader and has not announced it.
 	justJoined bool
-	// keys are the keys of the existing rows.
-	keys map[string]bool
-	// historyLostAfter is the revision after which the history was lost; zero for none.
-	historyLostAfter uint64
+	// rows are the existing rows by key. patched holds the previous content of large
+	// rows, from which patches are made; only readers keep it.
+	rows    map[string]Row
+	patched map[string]Row
+	// gapAfter is the position after which changes are missing until the next full read:
+	// the history is gone or a new era began. Zero for none.
+	gapAfter Position
 	// behind means that a peer has a later revision.
 	behind bool
 	// lastContact is when the table was last confirmed, by the store or by a peer.
@@ -57,13 +65,13 @@
 	// outageEnd is when the table was confirmed again after an outage.
 	outageEnd   time.Time
 	unreachable bool
-	// publishedRevision and publishedNow are the latest that any instance broadcast;
-	// lastPublished is when this instance last broadcast.
-	publishedRevision uint64
-	publishedNow      time.Duration
-	lastPublished     time.Time
-	// large caches rows with large values, by key.
-	large map[string]largeRow
+	// published and publishedNow are the latest that any instance broadcast;
+	// publishedSettled is set if that confirmed the table. lastPublished is when this
+	// instance last broadcast.
+	published        Position
+	publishedNow     time.Duration
+	publishedSettled bool
+	lastPublished    time.Time
 }
 
 // run follows the table until the context ends.
@@ -94,13 +102,13 @@
 	if needed || unconfirmed > t.StaleAfter+min(jitter, joinJitter) {
 		return true
 	}
-	if t.f.breaker.failedRecently() {
+	wasReading := t.readers.isReading()
+	if t.f.breaker.failedRecently() && (!wasReading || t.f.breaker.failingLong()) {
 		return false
 	}
 	if t.f.isolated() {
 		return true
 	}
-	wasReading := t.readers.isReading()
 	if !t.readers.decide(unconfirmed > jitter) {
 		return false
 	}
@@ -124,7 +132,7 @@
 // call reads the full table or its changes from the store.
 func (t *table) call(ctx context.Context) error {
 	t.mu.Lock()
-	loaded, after, justJoined := t.loaded, t.revision, t.justJoined
+	loaded, after, justJoined := t.loaded, t.position, t.justJoined
 	catchingUp := !t.current || t.behind
 	lastContact := t.lastContact
 	isStale := loaded && time.Since(lastContact) > t.StaleAfter
@@ -135,6 +143,10 @@
 		// announced, a long wait would make the other instances join as readers too.
 		feedWait = 0
 	}
+	if rest := t.f.unsettledFor(); t.Confirmed != nil && rest > 0 {
+		// An answer confirms the table only once this time has passed.
+		feedWait = min(feedWait, rest+idlePollInterval)
+	}
 	t.justJoined = false
 	t.mu.Unlock()
 	if !loaded {
@@ -144,91 +156,145 @@
 		}
 		return t.reload(ctx, page)
 	}
-	page, err := t.f.Source.Feed(ctx, t.Name, after, feedWait)
+	page, err := t.f.Source.Feed(ctx, t.Name, after.Revision, feedWait)
 	if errors.Is(err, ErrHistoryGone) {
+		t.f.Log.Log(events.StoreHistoryGone, events.Fields{Path: t.Name, Revision: after.Revision, Era: after.Era})
 		t.scheduleReload(after)
 		return nil
 	}
 	if err != nil {
 		return err
 	}
-	t.applyPage(page)
+	if !t.applyPage(page, after) {
+		return nil
+	}
 	if isStale && !t.f.isolated() && t.readers.takeOver(lastContact) {
 		justJoined = true
 	}
 	// An instance that only catches up has no changes that the others lack.
 	if t.readers.isReading() || !catchingUp {
-		t.publish(ctx, change{After: after}, page, justJoined)
+		t.publish(ctx, change{Base: after}, page, justJoined)
 	}
 	// The run loop checks whether the context has ended.
 	_ = wait.For(ctx, t.MinInterval)
 	return nil
 }
 
-// reload applies a full read. After a loss of history a reader broadcasts the changes
-// that the feed could not deliver, so that the others need no full read.
+// reload applies a full read. After a gap a reader broadcasts the changes that the feed
+// could not deliver, so that the others need no full read.
 func (t *table) reload(ctx context.Context, page *Page) error {
 	t.mu.Lock()
-	after := t.historyLostAfter
+	base := t.gapAfter
 	var missed *Page
-	if after > 0 && t.readers.isReading() {
-		missed = t.changesSince(page, after)
+	if !base.IsZero() && t.readers.isReading() {
+		missed = t.changesSince(page, base)
 	}
 	t.mu.Unlock()
 	if err := t.load(page); err != nil {
 		return err
 	}
 	if missed != nil {
-		t.publish(ctx, change{After: after, Gap: true}, missed, false)
+		t.publish(ctx, change{Base: base, Gap: true}, missed, false)
 	}
 	return nil
 }
 
-// changesSince returns the rows of a full read that changed or were deleted after a
-// revision. The caller holds the lock.
-func (t *table) changesSince(page *Page, after uint64) *Page {
-	missed := &Page{Revision: page.Revision, Now: page.Now}
+// changesSince returns the rows of a full read that differ from those known at a base,
+// deleted ones included. The caller holds the lock.
+func (t *table) changesSince(page *Page, base Position) *Page {
+	missed := &Page{Position: page.Position, Now: page.Now}
 	present := make(map[string]bool, len(page.Rows))
 	for _, row := range page.Rows {
 		present[row.Key] = true
-		if row.Revision > after {
+		if t.hasChanged(row, base) {
 			missed.Rows = append(missed.Rows, row)
 		}
 	}
-	for key := range t.keys {
+	for key := range t.rows {
 		if !present[key] {
-			missed.Rows = append(missed.Rows, Row{Key: key, Revision: page.Revision, Deleted: true})
+			missed.Rows = append(missed.Rows, Row{Key: key, Revision: page.Position.Revision, Era: page.Position.Era, Deleted: true})
 		}
 	}
 	return missed
 }
 
-// trackKeys updates the set of existing keys. The caller holds the lock.
-func (t *table) trackKeys(rows []Row) {
+// hasChanged reports whether a row differs from the one known at a base. In another era
+// the row's revision does not tell: the restored row may have had it with another
+// content. The caller holds the lock.
+func (t *table) hasChanged(row Row, base Position) bool {
+	if row.Era == base.Era {
+		return row.Revision > base.Revision
+	}
+	known, exists := t.rows[row.Key]
+	return !exists || known.Revision != row.Revision || !bytes.Equal(known.Value, row.Value)
+}
+
+// keepRows updates the copy of the rows. The caller holds the lock.
+func (t *table) keepRows(rows []Row) {
 	for _, row := range rows {
 		if row.Deleted {
-			delete(t.keys, row.Key)
+			delete(t.rows, row.Key)
+			delete(t.patched, row.Key)
 			continue
 		}
-		t.keys[row.Key] = true
+		t.keepRow(t.rows[row.Key], row)
 	}
 }
 
+// keepRow keeps a row and, if it is large, the content that it replaces. The caller
+// holds the lock.
+func (t *table) keepRow(replaced, row Row) {
+	if t.readers.isReading() && isLarge(replaced) && replaced.Position() != row.Position() {
+		t.patched[row.Key] = replaced
+	}
+	t.rows[row.Key] = row
+}
+
+// replaceRows replaces the copy of the rows. The caller holds the lock.
+func (t *table) replaceRows(rows []Row) {
+	replaced := t.rows
+	t.rows = make(map[string]Row, len(rows))
+	for _, row := range rows {
+		t.keepRow(replaced[row.Key], row)
+	}
+	maps.DeleteFunc(t.patched, func(key string, _ Row) bool {
+		_, exists := t.rows[key]
+		return !exists
+	})
+}
+
+// countMissing returns how many of the known rows are not among the given ones. The
+// caller holds the lock.
+func (t *table) countMissing(rows []Row) int {
+	missing := len(t.rows)
+	for _, row := range rows {
+		if _, known := t.rows[row.Key]; known {
+			missing--
+		}
+	}
+	return missing
+}
+
 // load applies a full read. It returns an error if the read is older than the known
-// revision; a later read will be newer.
+// position; a later read will be newer.
 func (t *table) load(page *Page) error {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if page.Revision < t.revision {
-		return errors.Errorf("store returned revision %d after revision %d", page.Revision, t.revision)
+	if page.Position.Before(t.position) {
+		return errors.Errorf("store returned position %d/%d after position %d/%d",
+			page.Position.Era, page.Position.Revision, t.position.Era, t.position.Revision)
 	}
 	t.noteContact()
+	switch {
+	case t.position.IsZero():
+		t.f.era.observe(page.Position.Era)
+	case page.Position.Era > t.position.Era:
+		t.enterEra(page.Position, t.countMissing(page.Rows))
+	}
 	t.Apply(page.Rows, true, t.uncertainFor())
-	t.cacheLarge(page.Rows)
-	clear(t.keys)
-	t.trackKeys(page.Rows)
-	t.historyLostAfter = 0
-	t.revision, t.loaded = page.Revision, true
+	t.replaceRows(page.Rows)
+	t.gapAfter = Position{}
+	t.position, t.loaded = page.Position, true
 	// Without a Confirmed callback no feed has to confirm the read: if it is stale, the
 	// readers' next broadcast shows it.
 	t.current = t.Confirmed == nil
@@ -236,48 +302,68 @@
 	return nil
 }
 
-// scheduleReload makes the next call a full read, because the history after a revision
-// is lost.
-func (t *table) scheduleReload(revision uint64) {
+// scheduleReload makes the next call a full read, because the changes after a position
+// can't be had.
+func (t *table) scheduleReload(after Position) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.f.Log.Log(events.StoreHistoryGone, events.Fields{Path: t.Name, Revision: revision})
 	t.outageEnd = time.Now()
-	t.loaded, t.historyLostAfter = false, revision
+	t.needReload(after)
+}
+
+// needReload makes the next call a full read. The caller holds the lock.
+func (t *table) needReload(after Position) {
+	if t.gapAfter.IsZero() {
+		t.gapAfter = after
+	}
+	t.loaded = false
 }
 
-// applyPage applies an answer of the store's feed.
-func (t *table) applyPage(page *Page) {
+// applyPage applies an answer of the store's feed after a position. It reports false if
+// the answer is of another era than that position: its rows are then not the changes
+// that this instance lacks.
+func (t *table) applyPage(page *Page, after Position) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if page.Position.Era != after.Era || page.Position.Era != t.position.Era {
+		if page.Position.Era > t.position.Era {
+			t.needReload(t.position)
+		}
+		return false
+	}
 	t.noteContact()
-	t.apply(page.Rows, page.Revision)
+	t.apply(page.Rows, page.Position)
 	t.current, t.behind = true, false
 	t.noteSuccess()
 	t.confirm(page.Now)
+	return true
 }
 
-// apply applies the rows that are newer than the known revision. The caller holds the
-// lock.
-func (t *table) apply(rows []Row, revision uint64) {
+// apply applies the rows that are newer than the known position, which must be of the
+// same era. The caller holds the lock.
+func (t *table) apply(rows []Row, position Position) {
 	var newer []Row
 	for _, row := range rows {
-		if row.Revision > t.revision {
+		if row.Revision > t.position.Revision {
 			newer = append(newer, row)
 		}
 	}
-	if len(newer) > 0 {
-		t.Apply(newer, false, t.uncertainFor())
-		t.cacheLarge(newer)
-		t.trackKeys(newer)
+	t.applyRows(newer)
+	t.position.Revision = max(t.position.Revision, position.Revision)
+}
+
+// applyRows applies rows. The caller holds the lock.
+func (t *table) applyRows(rows []Row) {
+	if len(rows) > 0 {
+		t.Apply(rows, false, t.uncertainFor())
+		t.keepRows(rows)
 	}
-	t.revision = max(t.revision, revision)
 }
 
-// confirm reports that the table is current up to a time of the store's clock. The
-// caller holds the lock.
+// confirm reports that the table is current up to a time of the store's clock, unless
+// rows that a restored store lost may still be missing. The caller holds the lock.
 func (t *table) confirm(at time.Duration) {
-	if t.Confirmed != nil {
+	if t.Confirmed != nil && t.f.unsettledFor() == 0 {
 		t.Confirmed(at)
 	}
 }
@@ -288,7 +374,7 @@
 	defer t.mu.Unlock()
 	if !t.unreachable {
 		t.unreachable = true
-		t.f.Log.Log(events.StoreUnreachable, events.Fields{Path: t.Name, Revision: t.revision, Age: time.Since(t.lastContact), Err: err})
+		t.f.Log.Log(events.StoreUnreachable, events.Fields{Path: t.Name, Revision: t.position.Revision, Age: time.Since(t.lastContact), Err: err})
 	}
 }
 
@@ -297,7 +383,7 @@
 func (t *table) noteSuccess() {
 	if t.unreachable {
 		t.unreachable = false
-		t.f.Log.Log(events.StoreRestored, events.Fields{Path: t.Name, Revision: t.revision})
+		t.f.Log.Log(events.StoreRestored, events.Fields{Path: t.Name, Revision: t.position.Revision})
 	}
 }
 
@@ -312,10 +398,12 @@
 }
 
 // uncertainFor returns how long rows may still be missing because of an outage of the
-// store, and not because they were deleted. The caller holds the lock.
+// store, and not because they were deleted, or missing or outdated because the store was
+// restored. The caller holds the lock.
 func (t *table) uncertainFor() time.Duration {
-	if t.outageEnd.IsZero() {
-		return 0
+	rest := t.f.unsettledFor()
+	if !t.outageEnd.IsZero() {
+		rest = max(rest, recoveryWindow-time.Since(t.outageEnd))
 	}
-	return max(0, recoveryWindow-time.Since(t.outageEnd))
+	return rest
 }
--- a/internal/upgrade/evidence.go
+++ b/internal/upgrade/evidence.go
@@ -9,6 +9,7 @@
 	"github.com/basilrail/basilrail/internal/dispatch"
 	"github.com/basilrail/basilrail/internal/peers"
 	"github.com/basilrail/basilrail/internal/rollout"
+	"github.com/basilrail/basilrail/internal/storefeed"
 )
 
 const (
@@ -58,8 +59,9 @@
 
 // evidenceMessage is the body of peers.KindUpgradeEvidence.
 type evidenceMessage struct {
-	Service  string `cbor:"1,keyasint"`
-	Revision uint64 `cbor:"2,keyasint"`
+	Service string `cbor:"1,keyasint"`
+	// Revision and To identify the upgrade.
+	Revision storefeed.Position `cbor:"2,keyasint"`
 	// Epoch distinguishes the runs of one instance.
 	Epoch  uint64          `cbor:"3,keyasint"`
 	Counts []variantCounts `cbor:"4,keyasint"`
@@ -68,6 +70,14 @@
 	// Pins are sessions that the sender saw on the old release although their hash
 	// assigns them to the new one.
 	Pins []sessionPin `cbor:"6,keyasint,omitempty"`
+	To   string       `cbor:"7,keyasint"`
+}
+
+// isAbout reports whether the message is about an upgrade. Until the operator's request
+// arrives again after a restore of the store, the sender may know it by its revision in
+// another era.
+func (m *evidenceMessage) isAbout(u Upgrade) bool {
+	return m.Revision == u.Revision || m.To == u.To && m.Revision.Era != u.Revision.Era
 }
 
 // source is one run of an instance.
@@ -78,7 +88,6 @@
 
 // upgradeEvidence is the evidence about one upgrade.
 type upgradeEvidence struct {
-	revision  uint64
 	own       map[evidenceKey]rollout.Counts
 	peers     map[source][]variantCounts
 	baselines map[string]*latencyBaseline
@@ -102,7 +111,6 @@
 
 func (s *evidenceStore) reset(upgrade Upgrade) {
 	s.byService[upgrade.Service] = &upgradeEvidence{
-		revision:  upgrade.Revision,
 		own:       make(map[evidenceKey]rollout.Counts),
 		peers:     make(map[source][]variantCounts),
 		baselines: make(map[string]*latencyBaseline),
@@ -161,7 +169,7 @@
 
 // message returns this instance's evidence about an upgrade.
 func (s *evidenceStore) message(upgrade Upgrade, epoch uint64, bad bool) evidenceMessage {
-	m := evidenceMessage{Service: upgrade.Service, Revision: upgrade.Revision, Epoch: epoch, Bad: bad}
+	m := evidenceMessage{Service: upgrade.Service, Revision: upgrade.Revision, To: upgrade.To, Epoch: epoch, Bad: bad}
 	if e := s.byService[upgrade.Service]; e != nil {
 		for key, counts := range e.own {
 			m.Counts = append(m.Counts, variantCounts{Key: key, Counts: counts})
@@ -179,7 +187,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	e, current := c.evidence.byService[m.Service], c.upgrades[m.Service]
-	if e == nil || current == nil || e.revision != m.Revision {
+	if e == nil || current == nil || !m.isAbout(current.upgrade) {
 		return nil, nil
 	}
 	e.peers[source{instance: msg.From, epoch: m.Epoch}] = m.Counts
--- a/internal/upgrade/step.go
+++ b/internal/upgrade/step.go
@@ -2,9 +2,10 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
 
 	"github.com/basilrail/basilrail/internal/events"
@@ -21,10 +22,6 @@
 	// evidenceInterval is the mean time between two messages about good answers in the
 	// whole fleet: 20 per second whatever the number of instances.
 	evidenceInterval = 50 * time.Millisecond
-	// writeStagger is the delay of a write for each instance that ranks before this one.
-	writeStagger = 400 * time.Millisecond
-	// maxWriteRank bounds the delay in a large fleet.
-	maxWriteRank = 5
 	// minAnswers is the number of answers that the new release needs before the
 	// upgrade is completed, until minAnswersUntil.
 	minAnswers = 8
@@ -39,22 +36,18 @@
 func (c *Controller) Run(ctx context.Context) {
 	epoch := uint64(time.Now().UnixNano())
 	wait.Every(ctx, stepInterval, func() {
-		for _, service := range c.inProgress() {
+		for _, service := range c.services() {
 			c.step(ctx, service, epoch)
 		}
 	})
 }
 
-func (c *Controller) inProgress() []string {
+// services returns the services that have an upgrade, also those whose upgrade has
+// ended: a restored store may have lost its record.
+func (c *Controller) services() []string {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	var list []string
-	for service, u := range c.upgrades {
-		if !u.machine.Final() {
-			list = append(list, service)
-		}
-	}
-	return list
+	return slices.Collect(maps.Keys(c.upgrades))
 }
 
 // step sends evidence, reads the record, tests the new release and writes the
@@ -81,7 +74,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	u := c.upgrades[service]
-	if u == nil {
+	if u == nil || u.machine.Final() {
 		return evidenceMessage{}, false
 	}
 	instances := time.Duration(len(c.Bus.Peers()) + 1)
@@ -113,13 +106,18 @@
 	defer c.mu.Unlock()
 	u := c.upgrades[service]
 	switch {
-	case u == nil || (found && r.Revision < u.record.Revision):
-	case found && r.UpgradeRevision == u.upgrade.Revision:
+	case u == nil:
+	case found && r.Revision.Before(u.record.Revision):
+		// The last known record is newer than the last read.
+	case found && r.belongsTo(u.upgrade):
 		c.applyRecord(u, r)
+	case found && u.upgrade.Revision.Before(r.UpgradeRevision):
+		// The record of a later upgrade, whose request has not arrived here yet.
 	case u.recordKnown:
-		// The store has no record of this upgrade yet. Save requires the revision of
-		// the row that it replaces.
+		// The store has no record of this upgrade, not yet or no longer. Save requires
+		// the revision of the row that it replaces.
 		u.record.Revision = r.Revision
+		u.noteLost(u.stored)
 	default:
 		// No instance has recorded the upgrade yet.
 		u.recordKnown = true
@@ -130,9 +128,25 @@
 	}
 }
 
-// applyRecord applies a stored record. The caller holds the lock.
+// noteLost records whether the store lacks the record as it is known here.
+func (u *upgradeState) noteLost(lost bool) {
+	switch {
+	case !lost:
+		u.lostSince = time.Time{}
+	case u.lostSince.IsZero():
+		u.lostSince = time.Now()
+	}
+}
+
+// applyRecord applies a stored record. A restored store may have an earlier one than is
+// known here; a final state is never left. The caller holds the lock.
 func (c *Controller) applyRecord(u *upgradeState, r Record) {
+	isReset := u.machine.Final() && r.State == statechart.UpgradeObserving
+	u.noteLost(isReset || r.UpgradeRevision.Before(u.upgrade.Revision))
 	u.record, u.recordKnown, u.stored = r, true, true
+	if u.machine.Final() {
+		return
+	}
 	switch r.State {
 	case statechart.UpgradeReverted:
 		c.fire(u, statechart.UpgradeReleaseBad)
@@ -154,7 +168,8 @@
 	}
 	if after != before {
 		c.Log.Log(events.UpgradeStateChanged, events.Fields{
-			Path: u.upgrade.Service, Version: u.upgrade.To, Revision: u.upgrade.Revision, Outcome: string(after), Reason: string(e),
+			Path: u.upgrade.Service, Version: u.upgrade.To, Era: u.upgrade.Revision.Era, Revision: u.upgrade.Revision.Revision,
+			Outcome: string(after), Reason: string(e),
 		})
 	}
 }
@@ -186,7 +201,8 @@
 		counts = e.answers()
 	}
 	c.Log.Log(events.UpgradeReleaseBad, events.Fields{
-		Path: u.upgrade.Service, Version: u.upgrade.To, Revision: u.upgrade.Revision, Reason: reason, Count: int(counts),
+		Path: u.upgrade.Service, Version: u.upgrade.To, Era: u.upgrade.Revision.Era, Revision: u.upgrade.Revision.Revision,
+		Reason: reason, Count: int(counts),
 	})
 }
 
@@ -216,29 +232,35 @@
 	return true
 }
 
-// dueRecord returns the record that this instance should write now; false if none.
+// dueRecord returns the record that this instance should write now, also again if a
+// restored store lost it; false if none.
 func (c *Controller) dueRecord(service string) (Record, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	u := c.upgrades[service]
 	now, ok := c.Records.Now()
-	if u == nil || !u.recordKnown || !ok || u.machine.Final() {
+	if u == nil || !u.recordKnown || !ok {
 		return Record{}, false
 	}
 	r := u.record
+	r.UpgradeRevision = u.upgrade.Revision
 	since := now - r.Started
+	isLost := !u.lostSince.IsZero() && time.Since(u.lostSince) >= peers.WriteDelay(c.Bus, service)
 	switch {
+	case u.machine.Final():
+		r.State = u.machine.State()
+		return r, isLost
 	case u.bad:
 		r.State = statechart.UpgradeReverted
-		return r, time.Since(u.badSince) >= c.writeDelay(service)
+		return r, time.Since(u.badSince) >= peers.WriteDelay(c.Bus, service)
 	case c.mayComplete(u):
 		r.State = statechart.UpgradeCompleted
 		due := time.Duration(completeStart * float64(u.upgrade.Duration))
-		return r, since-due >= c.writeDelay(service)
+		return r, since-due >= peers.WriteDelay(c.Bus, service)
 	case !u.stored:
-		return r, since >= c.writeDelay(service)
+		return r, since >= peers.WriteDelay(c.Bus, service)+u.extraDelay
 	}
-	return Record{}, false
+	return r, isLost
 }
 
 // mayComplete reports whether the upgrade may be completed: completeStart has passed, so
@@ -251,16 +273,3 @@
 	}
 	return c.evidence.byService[u.upgrade.Service].answers() >= minAnswers || progress >= minAnswersUntil
 }
-
-// writeDelay is the delay of this instance's write, which lets the connected peers
-// that rank before it write first.
-func (c *Controller) writeDelay(service string) time.Duration {
-	own := xxhash.Sum64String(service + "\x00" + c.Bus.Self())
-	rank := 0
-	for _, peer := range c.Bus.Peers() {
-		if peer.Connected && xxhash.Sum64String(service+"\x00"+peer.ID) < own {
-			rank++
-		}
-	}
-	return time.Duration(min(rank, maxWriteRank)) * writeStagger
-}
--- a/internal/upgrade/upgrade.go
+++ b/internal/upgrade/upgrade.go
@@ -22,6 +22,7 @@
 	"github.com/basilrail/basilrail/internal/fleet"
 	"github.com/basilrail/basilrail/internal/peers"
 	"github.com/basilrail/basilrail/internal/statechart"
+	"github.com/basilrail/basilrail/internal/storefeed"
 )
 
 const (
@@ -47,6 +48,12 @@
 	maxRecentSessions = 8192
 	// rateWindow is the time over which the request rate is measured.
 	rateWindow = 5 * time.Second
+	// restoredRecordDelay is how much later an instance writes a new record if the store
+	// was just restored and may have lost an existing one: the instances that know it
+	// write it within the longest peers.WriteDelay.
+	restoredRecordDelay = 4 * time.Second
+	// maxEarlier bounds the earlier requests that are remembered for each service.
+	maxEarlier = 8
 	// stepInterval is the interval between two steps of each upgrade; evidence is sent
 	// only in a step in which it is due.
 	stepInterval = 250 * time.Millisecond
@@ -59,8 +66,15 @@
 	// Duration is the time within which the upgrade must be done.
 	Duration time.Duration
 	// Revision identifies an upgrade of the service; later upgrades have higher
-	// revisions.
-	Revision uint64
+	// revisions. The operator writes its request again after a restore of the store,
+	// which changes the revision.
+	Revision storefeed.Position
+}
+
+// sameRequest reports whether two requests of the operator differ at most in their
+// revision.
+func (u Upgrade) sameRequest(v Upgrade) bool {
+	return u.Service == v.Service && u.To == v.To && u.Duration == v.Duration
 }
 
 // Record is the stored progress of an upgrade.
@@ -68,14 +82,21 @@
 	Service string
 	To      string
 	// UpgradeRevision is the revision of the upgrade.
-	UpgradeRevision uint64
+	UpgradeRevision storefeed.Position
 	// Started is the time at which the upgrade was first seen, on the store's clock.
 	Started time.Duration
 	State   statechart.State
 	// CanaryShare is the share of sessions on the new release in the first half.
 	CanaryShare float64
 	// Revision is the revision of the record; zero before it is written.
-	Revision uint64
+	Revision storefeed.Position
+}
+
+// belongsTo reports whether the record is that of an upgrade. A record that was written
+// before a restore of the store names the revision of the request before it was written
+// again.
+func (r Record) belongsTo(u Upgrade) bool {
+	return r.UpgradeRevision == u.Revision || r.To == u.To && r.UpgradeRevision.Era != u.Revision.Era
 }
 
 // RecordStore stores records. After any error other than ErrConflict the outcome of the
@@ -137,8 +158,15 @@
 	// recordKnown is true once the stored record was loaded or found to be missing: the
 	// start time in record is valid.
 	recordKnown bool
-	// stored is true if the record is in the store.
+	// stored is true once the record was in the store.
 	stored bool
+	// extraDelay delays the first write of the record.
+	extraDelay time.Duration
+	// lostSince is when this instance found that the store no longer has the record as
+	// it is known here, because the store was restored; zero if it has it.
+	lostSince time.Time
+	// earlier are the requests that this upgrade and its predecessors replaced.
+	earlier []Upgrade
 	// bad is true if this instance or a peer marked the release as bad, at badSince.
 	bad      bool
 	badSince time.Time
@@ -172,18 +200,45 @@
 }
 
 // Start begins an upgrade. It does nothing if the service's upgrade already has this
-// revision or a later one.
-func (c *Controller) Start(upgrade Upgrade) {
+// revision or a later one. If uncertain is set, the store was just restored, and the
+// operator may write its requests again: a request that is already known then is not
+// a new one.
+func (c *Controller) Start(upgrade Upgrade, uncertain bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if u := c.upgrades[upgrade.Service]; u != nil && u.upgrade.Revision >= upgrade.Revision {
+	old := c.upgrades[upgrade.Service]
+	if old != nil && (!old.upgrade.Revision.Before(upgrade.Revision) || c.isKnown(old, upgrade, uncertain)) {
 		return
 	}
 	u := &upgradeState{upgrade: upgrade, machine: statechart.NewMachine(c.Chart), pins: make(map[sessionKey]time.Time)}
+	if uncertain {
+		// Instances that know the record of this upgrade write it again before.
+		u.extraDelay = restoredRecordDelay
+	}
+	if old != nil {
+		u.earlier = append(old.earlier, old.upgrade)
+		u.earlier = u.earlier[max(0, len(u.earlier)-maxEarlier):]
+	}
 	c.upgrades[upgrade.Service] = u
 	c.evidence.reset(upgrade)
 	c.pinRunningSessions(u)
-	c.Log.Log(events.UpgradeRequested, events.Fields{Path: upgrade.Service, Version: upgrade.To, Revision: upgrade.Revision, Duration: upgrade.Duration})
+	c.Log.Log(events.UpgradeRequested, events.Fields{
+		Path: upgrade.Service, Version: upgrade.To, Era: upgrade.Revision.Era, Revision: upgrade.Revision.Revision, Duration: upgrade.Duration,
+	})
+}
+
+// isKnown reports whether a request with a later revision than the current upgrade is
+// the same request, written again after a restore of the store, or an earlier one that
+// the restore brought back. The caller holds the lock.
+func (c *Controller) isKnown(u *upgradeState, upgrade Upgrade, uncertain bool) bool {
+	isRestored := upgrade.Revision.Era > u.upgrade.Revision.Era
+	if (isRestored || uncertain) && u.upgrade.sameRequest(upgrade) {
+		u.upgrade.Revision = upgrade.Revision
+		return true
+	}
+	return isRestored && slices.ContainsFunc(u.earlier, func(e Upgrade) bool {
+		return e.sameRequest(upgrade) && e.Revision.Revision == upgrade.Revision.Revision
+	})
 }
 
 // Cancel discards the upgrade of a service. Its requests then run on the service's
--- a/internal/upgrade/upgrade_test.go
+++ b/internal/upgrade/upgrade_test.go
@@ -16,6 +16,7 @@
 	"github.com/basilrail/basilrail/internal/fleet"
 	"github.com/basilrail/basilrail/internal/peers/membus"
 	"github.com/basilrail/basilrail/internal/statechart"
+	"github.com/basilrail/basilrail/internal/storefeed"
 )
 
 var errResponseLost = errors.New("store response lost")
@@ -24,6 +25,7 @@
 type memRecords struct {
 	mu      sync.Mutex
 	started time.Time
+	era     uint64
 	record  Record
 	found   bool
 	saves   []statechart.State
@@ -47,7 +49,8 @@
 	if r.Revision != m.record.Revision {
 		return ErrConflict
 	}
-	r.Revision++
+	r.Revision.Era = m.era
+	r.Revision.Revision++
 	m.record, m.found = r, true
 	m.saves = append(m.saves, r.State)
 	if m.loseResponses {
@@ -105,7 +108,7 @@
 func (f *testFleet) upgrade() {
 	for i, c := range f.controllers {
 		f.sets[i].Put(registrations(newRelease)...)
-		c.Start(Upgrade{Service: service, To: newRelease, Duration: 24 * time.Second, Revision: 7})
+		c.Start(Upgrade{Service: service, To: newRelease, Duration: 24 * time.Second, Revision: storefeed.Position{Revision: 7}}, false)
 	}
 }
 
@@ -239,7 +242,7 @@
 		assert.Equal(t, []statechart.State{statechart.UpgradeObserving, statechart.UpgradeCompleted}, f.records.saves, "written once although the response was lost")
 		c := f.join(t, "late")
 		f.sets[len(f.sets)-1].Put(registrations(newRelease)...)
-		c.Start(Upgrade{Service: service, To: newRelease, Duration: 24 * time.Second, Revision: 7})
+		c.Start(Upgrade{Service: service, To: newRelease, Duration: 24 * time.Second, Revision: storefeed.Position{Revision: 7}}, false)
 		time.Sleep(time.Second)
 		assert.Equal(t, newRelease, c.Choose(service, "any"), "an instance that starts later applies the stored outcome")
 		f.stop()
