platform, dispatch, fleet, leaving: Announced leaving and pauses of backend servers

Cause: Server-Leaving in answers and Retry-After on a 503 were ignored; a request could reach a server after either. Change: both are read from the head of every answer on a connection. Leaving marks the server process as draining for good and is broadcast once. A pause is a filter of the choice; if all servers are paused, requests wait in order or are refused at once.

--- a/internal/datastore/datastore.go
+++ b/internal/datastore/datastore.go
@@ -56,6 +56,9 @@
 	// othersLoad is the load that other instances have in flight on the server.
 	othersLoad atomic.Pointer[Load]
 	status     atomic.Pointer[Status]
+	// pausedUntil is the end of the time in which the server wants no requests of this
+	// instance; nil for none.
+	pausedUntil atomic.Pointer[time.Time]
 }
 
 // Load is the load that instances have in flight on a server.
@@ -91,6 +94,29 @@
 	return own
 }
 
+// Pause records that the server wants no requests of this instance until a time. It
+// reports whether that is later than what was known.
+func (s *Server) Pause(until time.Time) bool {
+	for {
+		old := s.pausedUntil.Load()
+		if old != nil && !old.Before(until) {
+			return false
+		}
+		if s.pausedUntil.CompareAndSwap(old, &until) {
+			return true
+		}
+	}
+}
+
+// PausedUntil returns the end of the time in which the server wants no requests of this
+// instance; zero for none.
+func (s *Server) PausedUntil() time.Time {
+	if until := s.pausedUntil.Load(); until != nil {
+		return *until
+	}
+	return time.Time{}
+}
+
 // Status returns the last known status, never nil.
 func (s *Server) Status() *Status { return s.status.Load() }
 
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -8,6 +8,7 @@
 
 	"github.com/basilrail/basilrail/internal/apierror"
 	"github.com/basilrail/basilrail/internal/events"
+	"github.com/basilrail/basilrail/internal/fifo"
 	"github.com/basilrail/basilrail/internal/fleet"
 	"github.com/basilrail/basilrail/internal/metrics"
 	"github.com/basilrail/basilrail/internal/modeltier"
@@ -97,11 +98,28 @@
 	prefill *prefill.Estimator
 	mu      sync.Mutex
 	rng     *rand.Rand
+	// waiting holds, by service, the requests that wait for the end of a pause.
+	waiting map[string]*fifo.Queue
 }
 
 // New returns a Dispatcher with the given options.
 func New(o Options) *Dispatcher {
-	return &Dispatcher{Options: o, prefill: prefill.NewEstimator(), rng: rand.New(rand.NewPCG(o.Seed, o.Seed))}
+	return &Dispatcher{
+		Options: o, prefill: prefill.NewEstimator(), rng: rand.New(rand.NewPCG(o.Seed, o.Seed)),
+		waiting: make(map[string]*fifo.Queue),
+	}
+}
+
+// queue returns the queue of the requests to a service that wait for the end of a pause.
+func (d *Dispatcher) queue(service string) *fifo.Queue {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	q := d.waiting[service]
+	if q == nil {
+		q = fifo.New(pauseEndSpacing)
+		d.waiting[service] = q
+	}
+	return q
 }
 
 // draw returns a random number in [0, 1).
--- a/internal/dispatch/exchange.go
+++ b/internal/dispatch/exchange.go
@@ -107,7 +107,7 @@
 // run makes attempts until one answers or no further attempt is allowed.
 func (x *exchange) run(ctx context.Context) *Refusal {
 	for {
-		p, refusal := x.place()
+		p, refusal := x.placeInTurn(ctx)
 		if refusal != nil {
 			return x.giveUp(refusal)
 		}
--- a/internal/dispatch/pick.go
+++ b/internal/dispatch/pick.go
@@ -32,10 +32,7 @@
 // degraded, or else one that is not ejected, or else any.
 func (x *exchange) pick() (*fleet.Server, scheduling.Decision, *Refusal) {
 	snap := x.d.Fleet.Snapshot()
-	release := x.release
-	if release != "" && len(snap.Candidates(x.service, release)) == 0 {
-		release = ""
-	}
+	release := x.releaseIn(snap)
 	now := time.Now()
 	req := scheduling.Request{
 		Service:       x.service,
@@ -55,9 +52,21 @@
 			return server, decision, nil
 		}
 	}
+	if refusal := x.pausedRefusal(snap, now); refusal != nil {
+		return nil, scheduling.Decision{}, refusal
+	}
 	return nil, scheduling.Decision{}, &Refusal{Reason: NoServer, Execution: x.execution, RetryAfter: shortRetryAfter}
 }
 
+// releaseIn returns the release that runs the request; empty for any, also if none of
+// the servers runs the chosen one.
+func (x *exchange) releaseIn(snap *fleet.Snapshot) string {
+	if x.release != "" && len(snap.Candidates(x.service, x.release)) == 0 {
+		return ""
+	}
+	return x.release
+}
+
 // choose picks a server of this instance's failure domain, unless the estimated
 // wait there exceeds the wait elsewhere by more than crossDomainPenalty.
 func (x *exchange) choose(snap *fleet.Snapshot, release string, req scheduling.Request) (scheduling.Decision, error) {
--- a/internal/dispatch/refusal.go
+++ b/internal/dispatch/refusal.go
@@ -20,6 +20,9 @@
 	BadKey Reason = "unknown_key"
 	// NoServer: no backend server can take the request at present.
 	NoServer Reason = "no_server"
+	// ServersPaused: all backend servers that could take the request asked for a pause
+	// that ends too late for it.
+	ServersPaused Reason = "servers_paused"
 	// Overloaded: the backend servers refused the request for lack of capacity.
 	Overloaded Reason = "overloaded"
 	// TimedOut: the caller's deadline or the route's timeout passed.
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -271,6 +271,9 @@
 			Capacity:      max(1, r.Slots),
 			Service:       r.Service,
 		})
+		if old != nil && old.Registration.Started == r.Started {
+			server.Server.Pause(old.PausedUntil())
+		}
 	}
 	status := *server.Status()
 	status.Draining = r.Draining
@@ -311,6 +314,13 @@
 	return true
 }
 
+// Pause records that a server asked this instance to send it nothing for a time.
+func (s *Set) Pause(server *Server, d time.Duration) {
+	if server.Server.Pause(time.Now().Add(d)) {
+		s.log.Log(events.ServerPaused, events.Fields{Server: server.ID, Path: server.Registration.Service, RetryAfter: d})
+	}
+}
+
 // Remove removes a server that deregistered.
 func (s *Set) Remove(id string) {
 	s.mu.Lock()
--- a/internal/logtrace/logtrace_test.go
+++ b/internal/logtrace/logtrace_test.go
@@ -40,6 +40,22 @@
 				line("a", 2, refused+`,"reason":"no_server"`),
 			"no backend server was available (1 were found unresponsive, failing, draining or removed in the preceding 15s); the request was not sent",
 		},
+		{
+			"store restored", line("a", 1, `"event":4204,"name":"store_era_changed","path":"op","era":3`) +
+				line("a", 5, refused+`,"reason":"configuration_not_confirmed","age_ms":4100`),
+			"the configuration was last confirmed 4.1s earlier: the store was restored from an earlier copy, found at 07:48:01 (era 3), and what it lost may not have been written again",
+		},
+		{
+			"servers paused", line("a", 1, `"event":6017,"name":"server_paused","backend_server":"s1","retry_after_ms":3000`) +
+				line("a", 2, `"event":6017,"name":"server_paused","backend_server":"s2","retry_after_ms":4000`) +
+				line("a", 3, refused+`,"reason":"servers_paused","retry_after_ms":1500`),
+			"all backend servers that could take the request had asked for a pause; the first one ends 1.5s later (2 asked for one in the preceding 15s); the request was not sent",
+		},
+		{
+			"servers leaving", line("a", 1, `"event":6016,"name":"server_leaving","backend_server":"s1"`) +
+				line("a", 2, refused+`,"reason":"no_server"`),
+			"no backend server was available (1 were found unresponsive, failing, draining or removed in the preceding 15s); the request was not sent",
+		},
 		{
 			"server error", line("a", 1, attempt+`,"backend_server":"s1","outcome":"server_error"`) + line("a", 2, answered+`,"status":500`),
 			"the backend server responded with status 500; s1 returned a server error",
--- a/internal/logtrace/read.go
+++ b/internal/logtrace/read.go
@@ -42,6 +42,7 @@
 	Outcome    string    `json:"outcome,omitempty"`
 	Error      string    `json:"error,omitempty"`
 	Revision   uint64    `json:"revision,omitempty"`
+	Era        uint64    `json:"era,omitempty"`
 	Count      int       `json:"count,omitempty"`
 	Status     int       `json:"status,omitempty"`
 	Load       float64   `json:"load,omitempty"`
--- a/internal/logtrace/timeline.go
+++ b/internal/logtrace/timeline.go
@@ -125,10 +125,13 @@
 // way that can explain the attempt's end.
 func (t CallerAttempt) dependsOn(line, end Line) bool {
 	switch line.Event {
-	case events.StoreUnreachable.Number, events.StoreRestored.Number, events.ProcessStateChanged.Number:
+	case events.StoreUnreachable.Number, events.StoreRestored.Number, events.ProcessStateChanged.Number, events.StoreEraChanged.Number:
 		return end.Reason == string(dispatch.NotConfirmed) || end.Reason == string(dispatch.NoConfiguration)
-	case events.ServerEjected.Number, events.ServerDeregistered.Number, events.ServerDraining.Number, events.ServerRestarted.Number:
-		return end.Reason == string(dispatch.NoServer) || slices.ContainsFunc(t.serverAttempts(), func(a Line) bool { return a.Server == line.Server })
+	case events.ServerPaused.Number:
+		return end.Reason == string(dispatch.ServersPaused) || slices.ContainsFunc(t.serverAttempts(), func(a Line) bool { return a.Server == line.Server })
+	case events.ServerEjected.Number, events.ServerDeregistered.Number, events.ServerDraining.Number, events.ServerRestarted.Number,
+		events.ServerLeaving.Number, events.ServerHeld.Number:
+		return end.Reason == string(dispatch.NoServer) || end.Reason == string(dispatch.ServersPaused) || slices.ContainsFunc(t.serverAttempts(), func(a Line) bool { return a.Server == line.Server })
 	case events.ProcessDraining.Number:
 		return true
 	}
@@ -179,6 +182,9 @@
 		return "the caller closed its connection" + t.serverAttemptsText()
 	case dispatch.NoServer:
 		return "no backend server was available" + t.unavailableServersText() + t.serverAttemptsText()
+	case dispatch.ServersPaused:
+		return fmt.Sprintf("all backend servers that could take the request had asked for a pause; the first one ends %v later", milliseconds(end.RetryMS)) +
+			t.pausedServersText() + t.serverAttemptsText()
 	case dispatch.Overloaded:
 		return "the backend servers had no free capacity" + t.serverAttemptsText()
 	case dispatch.TimedOut:
@@ -193,17 +199,35 @@
 
 func (t CallerAttempt) storeOutageText() string {
 	for _, line := range slices.Backward(t.Related) {
-		if line.Event == events.StoreUnreachable.Number {
+		switch line.Event {
+		case events.StoreUnreachable.Number:
 			return "the store became unreachable at " + line.Time.Format(time.TimeOnly) + detail(line.Error)
+		case events.StoreEraChanged.Number:
+			return fmt.Sprintf("the store was restored from an earlier copy, found at %s (era %d), and what it lost may not have been written again",
+				line.Time.Format(time.TimeOnly), line.Era)
 		}
 	}
 	return "neither the store nor a peer confirmed it; check the instance's connections"
 }
 
+func (t CallerAttempt) pausedServersText() string {
+	paused := make(map[string]bool)
+	for _, line := range t.Related {
+		if line.Event == events.ServerPaused.Number {
+			paused[line.Server] = true
+		}
+	}
+	if len(paused) == 0 {
+		return ""
+	}
+	return fmt.Sprintf(" (%d asked for one in the preceding %v)", len(paused), relatedWindow)
+}
+
 func (t CallerAttempt) unavailableServersText() string {
 	unavailable := 0
 	for _, line := range t.Related {
-		if line.Event == events.ServerEjected.Number || line.Event == events.ServerDeregistered.Number || line.Event == events.ServerDraining.Number {
+		switch line.Event {
+		case events.ServerEjected.Number, events.ServerDeregistered.Number, events.ServerDraining.Number, events.ServerLeaving.Number, events.ServerHeld.Number:
 			unavailable++
 		}
 	}
--- a/internal/peers/bus.go
+++ b/internal/peers/bus.go
@@ -72,6 +72,10 @@
 // and those that were answered after such a report.
 const KindCrashingContent Kind = 29
 
+// KindServerLeaving reports a backend server that announced in an answer that it is
+// leaving.
+const KindServerLeaving Kind = 32
+
 // KindCommit requests that a peer commit a transaction to the table service.
 const KindCommit Kind = 24
 
@@ -108,7 +112,8 @@
 	// Broadcast sends a message to every instance at best effort, directly or
 	// relayed. In a fleet too large to be fully connected, only KindSettingsHint,
 	// KindSuspension, KindSuspect, KindServerState, KindTableChange,
-	// KindUpgradeEvidence and KindCrashingContent go beyond the neighbours.
+	// KindUpgradeEvidence, KindCrashingContent and KindServerLeaving go beyond the
+	// neighbours.
 	Broadcast(kind Kind, body any)
 	// Request sends a message to one peer and decodes the answer into reply, unless
 	// reply is nil.
--- a/internal/scheduling/scheduling.go
+++ b/internal/scheduling/scheduling.go
@@ -121,6 +121,7 @@
 	RejectedExcluded    Reason = "excluded by the request"
 	RejectedDraining    Reason = "leaving"
 	RejectedDown        Reason = "down"
+	RejectedPaused      Reason = "asked for a pause"
 	RejectedSlice       Reason = "over this entry's share of the server"
 	RejectedHigherLoad  Reason = "higher load of two"
 	RejectedEqual       Reason = "equal load, drawn second"
@@ -131,7 +132,7 @@
 
 // Eligible reports whether a server with this reason passed the filters.
 func (r Reason) Eligible() bool {
-	return r != RejectedExcluded && r != RejectedDraining && r != RejectedDown
+	return r != RejectedExcluded && r != RejectedDraining && r != RejectedDown && r != RejectedPaused
 }
 
 // Candidate is a server that a decision considered, as shown by explain.
@@ -187,7 +188,7 @@
 // Fleet is the profile for backend servers that registered themselves. It has no
 // DownFilter, because the caller excludes ejected and degraded servers.
 var Fleet = Profile{
-	Filters: []Filter{ExcludedFilter{}, DrainingFilter{}},
+	Filters: []Filter{ExcludedFilter{}, DrainingFilter{}, PausedFilter{}},
 	Scorer:  WorkScorer{},
 	Pickers: []Picker{LeastWorkPicker{}},
 }
