platform, storefeed, fleet, upgrade: Mend what random interleavings over restores found

Change: the last change of a server in a batch counts; differences need their exact base; the store's client learns eras from peers; the end of an upgrade is written again before a record in progress.

--- a/internal/fleet/departures_test.go
+++ b/internal/fleet/departures_test.go
@@ -40,6 +40,7 @@
 	}{
 		"that stays":      {func(*Set) {}, inEra(registration("a"), 2), false, true},
 		"that expires":    {func(s *Set) { s.Remove("a") }, inEra(registration("a"), 2), false, false},
+		"that is missing": {func(s *Set) { s.MarkMissing("a", uncertainFor) }, inEra(registration("a"), 2), false, false},
 		"that restarted":  {func(*Set) {}, inEra(restarted, 2), true, true},
 		"that is renewed": {func(s *Set) { s.Put(inEra(registration("a"), 2)) }, inEra(registration("a"), 2), false, true},
 		"in the same era": {func(*Set) {}, inEra(registration("a"), 1), true, true},
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -354,20 +354,19 @@
 func (s *Set) MarkMissing(id string, within time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.release(id)
 	if s.servers[id] == nil || s.missing[id] != nil {
 		return
 	}
 	s.missing[id] = time.AfterFunc(within, func() { s.Remove(id) })
 }
 
-// IDs returns the ids of all servers in order, missing servers included.
+// IDs returns the ids of all servers in order, also of missing servers and of those whose
+// registration is held.
 func (s *Set) IDs() []string {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	ids := make([]string, 0, len(s.servers))
-	for id := range s.servers {
-		ids = append(ids, id)
-	}
+	ids := slices.AppendSeq(slices.Collect(maps.Keys(s.servers)), maps.Keys(s.held))
 	slices.Sort(ids)
 	return ids
 }
--- a/internal/storefeed/era.go
+++ b/internal/storefeed/era.go
@@ -15,13 +15,15 @@
 	since time.Time
 }
 
-// observe records an era.
-func (c *eraClock) observe(era uint64) {
+// observe records an era and reports whether it is later than those seen before.
+func (c *eraClock) observe(era uint64) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if era > c.era {
-		c.era, c.since = era, time.Now()
+	if era <= c.era {
+		return false
 	}
+	c.era, c.since = era, time.Now()
+	return true
 }
 
 func (c *eraClock) latest() (era uint64, since time.Time) {
@@ -30,6 +32,13 @@
 	return c.era, c.since
 }
 
+// observeEra records an era that the store or a peer announced.
+func (f *Follower) observeEra(era uint64) {
+	if f.era.observe(era) && f.NewEra != nil {
+		f.NewEra(era)
+	}
+}
+
 // Era returns the latest era of the store that the instance has seen, and how long ago
 // it saw it first. Both are zero if the store does not announce eras.
 func (f *Follower) Era() (era uint64, age time.Duration) {
@@ -69,7 +78,7 @@
 // enterEra records that the table is of a later era from now on, in which so many of its
 // rows are missing. The caller holds the lock.
 func (t *table) enterEra(position Position, missing int) {
-	t.f.era.observe(position.Era)
+	t.f.observeEra(position.Era)
 	t.outageEnd = time.Now()
 	t.publishedNow = 0
 	t.f.Log.Log(events.StoreEraChanged, events.Fields{Path: t.Name, Era: position.Era, Revision: position.Revision, Count: missing})
--- a/internal/storefeed/era_test.go
+++ b/internal/storefeed/era_test.go
@@ -9,6 +9,8 @@
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+
+	"github.com/basilrail/basilrail/internal/peers/membus"
 )
 
 // requireStoreContent checks that every member has exactly the store's rows.
@@ -145,6 +147,29 @@
 	})
 }
 
+// TestDifferenceFromAnotherBaseIsNotApplied covers a row that one instance has and the
+// sender of a difference never had, or has seen removed before.
+func TestDifferenceFromAnotherBaseIsNotApplied(t *testing.T) {
+	for name, m := range map[string]change{
+		"into a later era": {Base: Position{Era: 0, Revision: 9}, Position: Position{Era: 1, Revision: 20}},
+		"over a gap":       {Base: Position{Era: 1, Revision: 5}, Position: Position{Era: 1, Revision: 20}, Gap: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := New(Options{Bus: membus.New().Join("i", "d")})
+				m1 := &member{values: make(map[string]string), changedAt: make(map[string]time.Time)}
+				f.Add(Table{Name: "t", Apply: m1.apply})
+				table := f.tables["t"]
+				require.NoError(t, table.load(&Page{Position: Position{Era: 1, Revision: 13}, Rows: []Row{{Key: "gone", Value: []byte("1"), Revision: 12, Era: 1}}}))
+				m.Table = "t"
+				table.merge("peer", m)
+				assert.True(t, table.behind, "the instance reads the changes that the difference does not have")
+				assert.Equal(t, Position{Era: 1, Revision: 13}, table.position)
+			})
+		})
+	}
+}
+
 // TestRestoredTableIsConfirmedOnceItIsSettled: what the operator wrote last may still be
 // missing from a restored store.
 func TestRestoredTableIsConfirmedOnceItIsSettled(t *testing.T) {
--- a/internal/storefeed/messages.go
+++ b/internal/storefeed/messages.go
@@ -21,7 +21,8 @@
 type change struct {
 	Table string `cbor:"1,keyasint"`
 	// Base is the position after which Rows, Deltas and Compressed start. They lead to
-	// Position. If that is of a later era, they lead there only from exactly Base.
+	// Position. With Gap, or if Position is of a later era, they lead there only from
+	// exactly Base.
 	Base     Position `cbor:"2,keyasint"`
 	Position Position `cbor:"3,keyasint"`
 	// Now is the store's monotonic clock when it answered, in nanoseconds.
@@ -151,7 +152,7 @@
 // mergeChange applies a change of the table's era. The caller holds the lock.
 func (t *table) mergeChange(m change) {
 	rows, complete := t.decodeRows(m)
-	if t.position.Before(m.Position) && (m.Partial || t.position.Before(m.Base) || !complete) {
+	if t.position.Before(m.Position) && (m.Partial || !t.continues(m) || !complete) {
 		t.behind = true
 		t.wakeUp()
 		return
@@ -165,11 +166,21 @@
 	t.confirm(time.Duration(m.Now))
 }
 
+// continues reports whether a change leads on from the known position. One over a gap or
+// into a later era tells how the sender's rows differ from those at its base: it says
+// nothing of rows that others have seen come and go since. The caller holds the lock.
+func (t *table) continues(m change) bool {
+	if m.Gap || m.Base.Era != m.Position.Era {
+		return t.position == m.Base
+	}
+	return !t.position.Before(m.Base)
+}
+
 // mergeEra applies a change that leads to a later era. The caller holds the lock.
 func (t *table) mergeEra(m change) {
-	t.f.era.observe(m.Position.Era)
+	t.f.observeEra(m.Position.Era)
 	rows, complete := t.decodeRows(m)
-	if m.Base != t.position || m.Partial || !complete {
+	if m.Partial || !t.continues(m) || !complete {
 		t.needReload(t.position)
 		t.wakeUp()
 		return
--- a/internal/storefeed/storefeed.go
+++ b/internal/storefeed/storefeed.go
@@ -94,6 +94,8 @@
 	// been written again. If nil, or false, this counts as done recoveryWindow after the
 	// instance first saw the era.
 	EraRecorded func(era uint64) bool
+	// NewEra, if set, is called with each later era that the instance sees.
+	NewEra func(era uint64)
 }
 
 // Follower keeps tables up to date. All tables must be added before Run.
--- a/internal/storefeed/table.go
+++ b/internal/storefeed/table.go
@@ -287,7 +287,7 @@
 	t.noteContact()
 	switch {
 	case t.position.IsZero():
-		t.f.era.observe(page.Position.Era)
+		t.f.observeEra(page.Position.Era)
 	case page.Position.Era > t.position.Era:
 		t.enterEra(page.Position, t.countMissing(page.Rows))
 	}
--- a/internal/upgrade/step.go
+++ b/internal/upgrade/step.go
@@ -245,11 +245,10 @@
 	r := u.record
 	r.UpgradeRevision = u.upgrade.Revision
 	since := now - r.Started
-	isLost := !u.lostSince.IsZero() && time.Since(u.lostSince) >= peers.WriteDelay(c.Bus, service)
 	switch {
 	case u.machine.Final():
 		r.State = u.machine.State()
-		return r, isLost
+		return r, u.hasLost(peers.WriteDelay(c.Bus, service))
 	case u.bad:
 		r.State = statechart.UpgradeReverted
 		return r, time.Since(u.badSince) >= peers.WriteDelay(c.Bus, service)
@@ -260,7 +259,12 @@
 	case !u.stored:
 		return r, since >= peers.WriteDelay(c.Bus, service)+u.extraDelay
 	}
-	return r, isLost
+	return r, u.hasLost(peers.WriteDelay(c.Bus, service) + restoredRecordDelay)
+}
+
+// hasLost reports whether the store has lacked the record for a time.
+func (u *upgradeState) hasLost(d time.Duration) bool {
+	return !u.lostSince.IsZero() && time.Since(u.lostSince) >= d
 }
 
 // mayComplete reports whether the upgrade may be completed: completeStart has passed, so
--- a/internal/upgrade/upgrade.go
+++ b/internal/upgrade/upgrade.go
@@ -48,10 +48,10 @@
 	maxRecentSessions = 8192
 	// rateWindow is the time over which the request rate is measured.
 	rateWindow = 5 * time.Second
-	// restoredRecordDelay is how much later an instance writes a new record if the store
-	// was just restored and may have lost an existing one: the instances that know it
-	// write it within the longest peers.WriteDelay.
-	restoredRecordDelay = 4 * time.Second
+	// restoredRecordDelay is how much later than one that knows the end of an upgrade an
+	// instance writes a record after a restore of the store: the former write it within
+	// the longest peers.WriteDelay. An instance that knows no record waits twice as long.
+	restoredRecordDelay = 2500 * time.Millisecond
 	// maxEarlier bounds the earlier requests that are remembered for each service.
 	maxEarlier = 8
 	// stepInterval is the interval between two steps of each upgrade; evidence is sent
@@ -213,7 +213,7 @@
 	u := &upgradeState{upgrade: upgrade, machine: statechart.NewMachine(c.Chart), pins: make(map[sessionKey]time.Time)}
 	if uncertain {
 		// Instances that know the record of this upgrade write it again before.
-		u.extraDelay = restoredRecordDelay
+		u.extraDelay = 2 * restoredRecordDelay
 	}
 	if old != nil {
 		u.earlier = append(old.earlier, old.upgrade)
