--- a/Makefile
+++ b/Makefile
@@ -44,11 +44,13 @@
 capacity:
 	$(GO) run ./cmd/basilrail-capacity
 
-# soak runs the model-based tests of settings and claims with new seeds; a
+# soak runs the model-based tests of settings, of the platform's path over restores of
+# the store, and of claims with new seeds; a
 # failure prints its seed.
 SOAK_CHECKS ?= 2000
 soak:
 	BASILRAIL_SOAK=1 $(GO) test -count=1 -run RandomInterleavings ./internal/configsync -rapid.checks=$(SOAK_CHECKS)
+	BASILRAIL_SOAK=1 $(GO) test -count=1 -run RandomInterleavingsOver ./platform -rapid.checks=$(SOAK_CHECKS)
 	BASILRAIL_TEST_FIRST_SEED=$$(date +%s) $(GO) test -count=1 -run OneSend ./internal/claim
 
 # soak-processes runs instances as processes and injects faults, with new seeds; a
