--- a/internal/peers/mesh/domains_test.go
+++ b/internal/peers/mesh/domains_test.go
@@ -96,3 +96,20 @@
 		assert.Len(t, reached, 4, "domain %d has links to all domains", d)
 	}
 }
+
+// TestInstancesOfADomainHearTheLoadOfAllOthers covers domains of many instances before few
+// servers: one that hears of a quarter of the load picks busy servers.
+func TestInstancesOfADomainHearTheLoadOfAllOthers(t *testing.T) {
+	for _, each := range []int{17, 28, 35} {
+		all := domainFleet(6, each)
+		for _, p := range all[:each] {
+			inside := 0
+			for _, n := range (topology{self: p.ID, domain: p.FailureDomain}).neighbours(others(all, p.ID)) {
+				if n.FailureDomain == p.FailureDomain {
+					inside++
+				}
+			}
+			assert.Equal(t, each-1, inside, "%d instances", each)
+		}
+	}
+}
--- a/internal/peers/mesh/stats.go
+++ b/internal/peers/mesh/stats.go
@@ -9,7 +9,7 @@
 
 // maxKinds bounds the kinds that are counted separately. Index 0 counts keepalives and
 // all kinds from maxKinds up.
-const maxKinds = 32
+const maxKinds = 40
 
 // Traffic counts the frames and bytes of one kind, frame headers included.
 type Traffic struct {
--- a/internal/peers/mesh/topology.go
+++ b/internal/peers/mesh/topology.go
@@ -18,7 +18,7 @@
 	// domainMeshInstances is the largest failure domain in which all instances are
 	// neighbours, if failure domains are configured; a larger domain has rings of its
 	// own.
-	domainMeshInstances = 24
+	domainMeshInstances = 40
 	// outerRings is the number of rings over all instances if failure domains are
 	// configured.
 	outerRings = 2
