storefeed: Handle messages of peers only while it runs

A follower took messages from its constructor on, while tables were still added: in the interleavings over restores a restarted instance read the map that Add was writing. In the product the mesh starts later, so nothing was lost there. Run registers the handler now.

The other reports were of tests that read, after a sleep, what another goroutine wrote: they wait for it first.

--- a/internal/fifo/fifo_test.go
+++ b/internal/fifo/fifo_test.go
@@ -34,6 +34,7 @@
 			}()
 		}
 		time.Sleep(2 * time.Second)
+		synctest.Wait()
 		assert.Equal(t, []int{0, 1, 2, 4}, order)
 		for i, at := range times {
 			assert.Equal(t, time.Second+time.Duration(i)*spacing, at)
--- a/internal/storefeed/era_test.go
+++ b/internal/storefeed/era_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -57,6 +58,7 @@
 		time.Sleep(time.Second)
 		f.requireStoreContent(t)
 		assert.Less(t, f.store.count()-calls, 200, "calls of 40 instances, one of each to read the store's clock")
+		synctest.Wait()
 		for _, m := range f.members {
 			position := m.follower.tables["t"].position
 			assert.Equal(t, uint64(1), position.Era, m.name)
@@ -133,6 +135,7 @@
 		copied := f.store.copy()
 		f.store.put("a", "lost")
 		time.Sleep(time.Second)
+		synctest.Wait()
 		lost := f.members[0].follower.tables["t"].position
 		f.store.restore(copied)
 		time.Sleep(2 * time.Second)
@@ -141,6 +144,7 @@
 			Table: "t", Base: lost, Position: Position{Revision: lost.Revision + 5}, Reads: true, Now: int64(time.Hour),
 			Rows: []Row{{Key: "a", Value: []byte("frozen"), Revision: lost.Revision + 5}},
 		})
+		synctest.Wait()
 		assert.Equal(t, "1", m.value("a"))
 		assert.Less(t, m.confirmed, time.Minute, "the message confirms nothing")
 		assert.NotContains(t, m.follower.tables["t"].readers.lastSeen, "frozen")
@@ -176,9 +180,9 @@
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
 		f := startFleet(ctx, 4)
-		recorded := uint64(0)
+		var recorded atomic.Uint64
 		for _, m := range f.members {
-			m.follower.EraRecorded = func(era uint64) bool { return recorded >= era }
+			m.follower.EraRecorded = func(era uint64) bool { return recorded.Load() >= era }
 		}
 		time.Sleep(5 * time.Second)
 		f.store.restore(f.store.copy())
@@ -190,7 +194,7 @@
 			assert.Equal(t, uint64(1), era)
 			assert.Less(t, age, 2*time.Second)
 		}
-		recorded = 1
+		recorded.Store(1)
 		time.Sleep(1500 * time.Millisecond)
 		for _, m := range f.members {
 			assert.Less(t, m.age(f.store), 1500*time.Millisecond, "the era was recorded")
@@ -203,7 +207,7 @@
 		late := &member{name: "late", values: make(map[string]string), changedAt: make(map[string]time.Time)}
 		late.follower = New(Options{
 			Bus: f.network.Join(late.name, "d"), Source: storeClient{f.store, late.name},
-			EraRecorded: func(era uint64) bool { return recorded >= era },
+			EraRecorded: func(era uint64) bool { return recorded.Load() >= era },
 		})
 		late.follower.Add(Table{Name: "t", Wait: time.Second, StaleAfter: 1300 * time.Millisecond, Apply: late.apply, Confirmed: late.confirm})
 		go late.follower.Run(ctx)
--- a/internal/storefeed/storefeed.go
+++ b/internal/storefeed/storefeed.go
@@ -106,11 +106,9 @@
 	era     eraClock
 }
 
-// New makes a Follower and registers its message handler.
+// New makes a Follower.
 func New(o Options) *Follower {
-	f := &Follower{Options: o, tables: make(map[string]*table)}
-	o.Bus.Handle(peers.KindTableChange, f.handleChange)
-	return f
+	return &Follower{Options: o, tables: make(map[string]*table)}
 }
 
 // Add registers a table to follow.
@@ -125,8 +123,9 @@
 	}
 }
 
-// Run follows the tables until the context ends.
+// Run follows the tables, also by the messages of the peers, until the context ends.
 func (f *Follower) Run(ctx context.Context) {
+	f.Bus.Handle(peers.KindTableChange, f.handleChange)
 	var group sync.WaitGroup
 	for _, t := range f.tables {
 		group.Go(func() { t.run(ctx) })
