storefeed: Wait for the connections to the peers before reading for oneself

For 1.2 s after a start an instance without connections no longer counts as isolated; the list of peers, by which it finds them, is read again after 0.6 s. The random delay before becoming a reader now lasts until the first confirmation after the start: it was drawn again after each call and so never applied.

Ruled out: fewer readers.

A test read what a callback wrote without waiting for it; seen once under -race.

--- a/internal/storefeed/storefeed.go
+++ b/internal/storefeed/storefeed.go
@@ -25,6 +25,15 @@
 // revision, so that a feed can't continue from it.
 var ErrHistoryGone = errors.New("store no longer has the history after the revision")
 
+const (
+	// peerListTime is how long after its start an instance that is not connected to its
+	// peers yet waits until it reads again which peers there are.
+	peerListTime = 600 * time.Millisecond
+	// connectTime is how long after its start an instance expects to be connected to its
+	// peers. After it, one without connections counts as isolated.
+	connectTime = 1200 * time.Millisecond
+)
+
 // Row is one row of a table.
 type Row struct {
 	Key   string `cbor:"1,keyasint"`
@@ -70,6 +79,8 @@
 	Wait time.Duration
 	// MinInterval is the minimum time between two feeds, during which changes are batched.
 	MinInterval time.Duration
+	// ListsPeers means that an instance finds its peers by the table.
+	ListsPeers bool
 	// StaleAfter is the time without confirmation after which an instance reads the
 	// store itself.
 	StaleAfter time.Duration
@@ -104,6 +115,7 @@
 	tables  map[string]*table
 	breaker breaker
 	era     eraClock
+	started time.Time
 }
 
 // New makes a Follower.
@@ -125,6 +137,7 @@
 
 // Run follows the tables, also by the messages of the peers, until the context ends.
 func (f *Follower) Run(ctx context.Context) {
+	f.started = time.Now()
 	f.Bus.Handle(peers.KindTableChange, f.handleChange)
 	var group sync.WaitGroup
 	for _, t := range f.tables {
@@ -133,10 +146,15 @@
 	group.Wait()
 }
 
-// isolated reports whether no peer is connected, as after a start or in a partition.
-// An instance then reads the store itself.
-func (f *Follower) isolated() bool {
-	return !slices.ContainsFunc(f.Bus.Peers(), func(p peers.Peer) bool { return p.Connected })
+// isolated reports whether no peer is connected, as in a partition. An instance then
+// reads the store itself. Instances that all start together would all read it until they
+// are connected; they read only the list of peers meanwhile.
+func (t *table) isolated() bool {
+	uptime := time.Since(t.f.started)
+	if uptime < peerListTime || uptime < connectTime && !t.ListsPeers {
+		return false
+	}
+	return !slices.ContainsFunc(t.f.Bus.Peers(), func(p peers.Peer) bool { return p.Connected })
 }
 
 // TablesRead returns the number of tables that this instance reads for the others.
--- a/internal/storefeed/storefeed_test.go
+++ b/internal/storefeed/storefeed_test.go
@@ -319,7 +319,7 @@
 		m := &member{name: fmt.Sprintf("i%02d", i), values: make(map[string]string), changedAt: make(map[string]time.Time)}
 		m.follower = New(Options{Bus: countingBus{f.network.Join(m.name, "d"), &f.broadcasts}, Source: storeClient{f.store, m.name}})
 		m.follower.Add(Table{
-			Name: "t", Wait: times.Wait, StaleAfter: times.StaleAfter, Apply: m.apply, Confirmed: m.confirm,
+			Name: "t", ListsPeers: times.ListsPeers, Wait: times.Wait, StaleAfter: times.StaleAfter, Apply: m.apply, Confirmed: m.confirm,
 		})
 		f.members = append(f.members, m)
 	}
@@ -409,7 +409,7 @@
 func TestInstancesWithoutPeersReadTheStore(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
-		f := startFleetOf(ctx, 10, Table{Wait: 5 * time.Second, StaleAfter: 12 * time.Second})
+		f := startFleetOf(ctx, 10, Table{ListsPeers: true, Wait: 5 * time.Second, StaleAfter: 12 * time.Second})
 		for _, m := range f.members {
 			f.network.SetPartitioned(m.name, true)
 		}
@@ -520,6 +520,7 @@
 				f.store.mu.Unlock()
 				f.store.setDown("", false)
 				time.Sleep(5 * time.Second)
+				synctest.Wait()
 				require.False(t, changed.IsZero())
 				for _, m := range f.members {
 					require.Equal(t, "after", m.value("a"), m.name)
--- a/internal/storefeed/table.go
+++ b/internal/storefeed/table.go
@@ -20,8 +20,9 @@
 	// successful call, so that few instances join at the same time.
 	joinJitter = 600 * time.Millisecond
 	// initialJoinJitter replaces joinJitter after a start, when all instances may start
-	// together and are not connected to each other yet.
-	initialJoinJitter = 3 * time.Second
+	// together. It is counted from connectTime on: before, they are not connected to each
+	// other yet.
+	initialJoinJitter = 2 * time.Second
 	// idlePollInterval is how often an instance that does not read checks whether it
 	// should.
 	idlePollInterval = 100 * time.Millisecond
@@ -76,8 +77,11 @@
 
 // run follows the table until the context ends.
 func (t *table) run(ctx context.Context) {
-	jitter := rand.N(max(initialJoinJitter, t.Wait))
+	starting, jitter := true, connectTime+rand.N(initialJoinJitter)
 	for ctx.Err() == nil {
+		if starting && t.confirmedSinceStart() {
+			starting, jitter = false, rand.N(max(joinJitter, t.Wait))
+		}
 		if !t.shouldCall(jitter) || !t.f.breaker.allow() {
 			t.idle(ctx)
 			continue
@@ -88,10 +92,20 @@
 			t.noteFailure(err)
 			continue
 		}
-		jitter = rand.N(max(joinJitter, t.Wait))
+		if !starting {
+			jitter = rand.N(max(joinJitter, t.Wait))
+		}
 	}
 }
 
+// confirmedSinceStart reports whether the table was confirmed after the time in which
+// the instance connects to its peers.
+func (t *table) confirmedSinceStart() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.lastContact.Sub(t.f.started) > connectTime
+}
+
 // shouldCall reports whether this instance should call the store now. The random jitter
 // delays its becoming a reader and, by at most joinJitter, its read of a stale table.
 func (t *table) shouldCall(jitter time.Duration) bool {
@@ -106,7 +120,7 @@
 	if t.f.breaker.failedRecently() && (!wasReading || t.f.breaker.failingLong()) {
 		return false
 	}
-	if t.f.isolated() {
+	if t.isolated() {
 		return true
 	}
 	if !t.readers.decide(unconfirmed > jitter) {
@@ -137,7 +151,7 @@
 	lastContact := t.lastContact
 	isStale := loaded && time.Since(lastContact) > t.StaleAfter
 	feedWait := t.Wait
-	if catchingUp || justJoined || !t.readers.isReading() && !t.f.isolated() || t.f.breaker.isOpen() {
+	if catchingUp || justJoined || !t.readers.isReading() && !t.isolated() || t.f.breaker.isOpen() {
 		// Ask for an immediate answer. A full read may be stale, which the first answer
 		// of the feed shows. While the store is unreachable or this reader is not yet
 		// announced, a long wait would make the other instances join as readers too.
@@ -168,7 +182,7 @@
 	if !t.applyPage(page, after) {
 		return nil
 	}
-	if isStale && !t.f.isolated() && t.readers.takeOver(lastContact) {
+	if isStale && !t.isolated() && t.readers.takeOver(lastContact) {
 		justJoined = true
 	}
 	// An instance that only catches up has no changes that the others lack.
