platform, dispatch: Resume a stream whose connection has fallen silent

A connection may fall silent for good while the server answers on others. A wait for the next event ended only if a peer also reported the server as unresponsive, which does not happen then: the stream stayed silent until its deadline. It now also ends after three times the longest interval between events that callers expect, and is resumed at another server.

--- a/internal/dispatch/exchange.go
+++ b/internal/dispatch/exchange.go
@@ -29,15 +29,16 @@
 	crossDomainPenalty = 150 * time.Millisecond
 	// Response timeouts, after which a server counts as unresponsive.
 	// answerTimeoutFactor multiplies the target latency of a plain answer,
-	// eventTimeoutFactor the maximum interval between events, and
-	// prefillTimeoutFactor the estimated prefill time of all prompts at the server,
+	// eventTimeoutFactor and noticedEventTimeoutFactor the maximum interval between
+	// events, and prefillTimeoutFactor the estimated prefill time of all prompts at the server,
 	// to which minHeaderTimeout is added. fullServerAllowance is added at a server
 	// without a free slot.
-	answerTimeoutFactor  = 2
-	eventTimeoutFactor   = 1.0
-	prefillTimeoutFactor = 4
-	minHeaderTimeout     = 1500 * time.Millisecond
-	fullServerAllowance  = 3 * time.Second
+	answerTimeoutFactor       = 2
+	eventTimeoutFactor        = 3.0
+	noticedEventTimeoutFactor = 1.0
+	prefillTimeoutFactor      = 4
+	minHeaderTimeout          = 1500 * time.Millisecond
+	fullServerAllowance       = 3 * time.Second
 	// maxConnects is the maximum number of failed connection attempts per request.
 	maxConnects = 4
 )
@@ -208,6 +209,7 @@
 	}
 	if x.route.MaxEventGap > 0 {
 		a.EventTimeout = time.Duration(eventTimeoutFactor * float64(x.route.MaxEventGap))
+		a.NoticedEventTimeout = time.Duration(noticedEventTimeoutFactor * float64(x.route.MaxEventGap))
 	}
 	load := p.server.TotalLoad()
 	a.HeaderTimeout = minHeaderTimeout + prefillTimeoutFactor*(p.prefill+load.Prefill)
--- a/internal/dispatch/request.go
+++ b/internal/dispatch/request.go
@@ -137,9 +137,11 @@
 	Deadline time.Time
 	// Priority is the rank in the server's queue; 0 is the most urgent.
 	Priority int
-	// HeaderTimeout is the timeout for the head of the answer. EventTimeout is the
-	// timeout between two events of a stream; it applies only if other instances
-	// also found the server unresponsive. Zero means until the deadline.
-	HeaderTimeout time.Duration
-	EventTimeout  time.Duration
+	// HeaderTimeout is the timeout for the head of the answer, EventTimeout that between
+	// two events of a stream, and NoticedEventTimeout the shorter one that applies if
+	// another instance has also found the server unresponsive. Zero means until the
+	// deadline.
+	HeaderTimeout       time.Duration
+	EventTimeout        time.Duration
+	NoticedEventTimeout time.Duration
 }
