--- a/internal/dispatch/pause_test.go
+++ b/internal/dispatch/pause_test.go
@@ -152,6 +152,7 @@
 		time.Sleep(100 * time.Millisecond)
 		cancel()
 		time.Sleep(600 * time.Millisecond)
+		synctest.Wait()
 		assert.Equal(t, CallerGone, gone.refusal.Reason)
 		assert.Equal(t, "ok", next.text)
 	})
