fleet: A cancelled removal or registration no longer takes effect

A timer that was stopped may have fired already and wait for the lock. A server that registered again at that moment was removed until its next change, and a held registration of a server that had just deregistered was put back. The timer's function now checks that its change is still listed. TestCancelledDelayedChangeHasNoEffect fails without either check.

Comments in the field's terms: instances receive notices, rows don't tell.

--- a/internal/dispatch/pick.go
+++ b/internal/dispatch/pick.go
@@ -58,8 +58,8 @@
 	return nil, scheduling.Decision{}, &Refusal{Reason: NoServer, Execution: x.execution, RetryAfter: shortRetryAfter}
 }
 
-// releaseIn returns the release that runs the request; empty for any, also if none of
-// the servers runs the chosen one.
+// releaseIn returns the release to which the request is restricted; empty for any
+// release, also if no server has the selected one.
 func (x *exchange) releaseIn(snap *fleet.Snapshot) string {
 	if x.release != "" && len(snap.Candidates(x.service, x.release)) == 0 {
 		return ""
--- a/internal/fleet/departures.go
+++ b/internal/fleet/departures.go
@@ -71,9 +71,9 @@
 	return true
 }
 
-// isDraining reports whether a registered server is draining: its registration or an
-// announcement says so, or it was draining in an earlier era. It records that a
-// registration says so.
+// isDraining reports whether a registered server is draining: by its registration, by an
+// announcement, or because it was draining in an earlier era. It records registrations as
+// draining.
 func (d *departures) isDraining(r Registration) bool {
 	entry, _ := d.byProcess.Get(r.process())
 	if r.Draining && !entry.draining {
--- a/internal/fleet/departures_test.go
+++ b/internal/fleet/departures_test.go
@@ -117,3 +117,22 @@
 	require.True(t, s.MarkLeaving("b", 7), "an earlier process")
 	assert.True(t, s.takesWork("b"))
 }
+
+// TestCancelledDelayedChangeHasNoEffect covers a timer that fires just before it is
+// stopped: its function gets the lock only after the change was cancelled.
+func TestCancelledDelayedChangeHasNoEffect(t *testing.T) {
+	s := NewSet("here", nil)
+	s.Put(inEra(registration("a"), 1))
+	s.MarkMissing("a", time.Minute)
+	removal := s.missing["a"]
+	s.Put(inEra(registration("a"), 1))
+	s.removeMissing("a", removal)
+	assert.True(t, s.takesWork("a"), "the server has registered again")
+
+	s.Remove("a")
+	s.PutUncertain(uncertainFor, inEra(registration("a"), 2))
+	held := s.held["a"]
+	s.Remove("a")
+	s.putHeld(inEra(registration("a"), 2), held)
+	assert.False(t, s.takesWork("a"), "the server has deregistered")
+}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -174,11 +174,11 @@
 	// era is the latest era of the registrations.
 	era     uint64
 	servers map[string]*Server
-	// missing holds the removal timers of servers whose registration disappeared
+	// missing holds the delayed removals of servers whose registration disappeared
 	// although they may still run.
-	missing map[string]*time.Timer
-	// held holds the timers of registrations that may be those of departed servers.
-	held       map[string]*time.Timer
+	missing map[string]*delayedChange
+	// held holds the delayed registrations that may be those of departed servers.
+	held       map[string]*delayedChange
 	departures *departures
 	current    atomic.Pointer[Snapshot]
 }
@@ -187,7 +187,7 @@
 func NewSet(domain string, log *events.Logger) *Set {
 	s := &Set{
 		log: log, domain: domain, servers: make(map[string]*Server),
-		missing: make(map[string]*time.Timer), held: make(map[string]*time.Timer), departures: newDepartures(),
+		missing: make(map[string]*delayedChange), held: make(map[string]*delayedChange), departures: newDepartures(),
 	}
 	s.publish()
 	return s
@@ -208,7 +208,7 @@
 	changed := false
 	for _, r := range list {
 		s.era = max(s.era, r.Era)
-		s.release(r.ID)
+		cancel(s.held, r.ID)
 		if uncertainFor > 0 && s.servers[r.ID] == nil && s.departures.hasDeparted(r) {
 			s.hold(r)
 			continue
@@ -223,10 +223,7 @@
 // put adds or updates one registration and reports whether anything changed. The
 // caller holds the lock.
 func (s *Set) put(r Registration) bool {
-	if timer := s.missing[r.ID]; timer != nil {
-		timer.Stop()
-		delete(s.missing, r.ID)
-	}
+	cancel(s.missing, r.ID)
 	old := s.servers[r.ID]
 	r.Draining = s.departures.isDraining(r)
 	if old != nil && old.same(r) {
@@ -285,14 +282,37 @@
 // deregisters before. The caller holds the lock.
 func (s *Set) hold(r Registration) {
 	s.log.Log(events.ServerHeld, events.Fields{Server: r.ID, Version: r.Release, Path: r.Service, Era: r.Era})
-	s.held[r.ID] = time.AfterFunc(departedHold, func() { s.Put(r) })
+	change := &delayedChange{}
+	change.timer = time.AfterFunc(departedHold, func() { s.putHeld(r, change) })
+	s.held[r.ID] = change
 }
 
-// release drops a held registration. The caller holds the lock.
-func (s *Set) release(id string) {
-	if timer := s.held[id]; timer != nil {
-		timer.Stop()
-		delete(s.held, id)
+// putHeld puts a held registration unless that was cancelled.
+func (s *Set) putHeld(r Registration, change *delayedChange) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.held[r.ID] != change {
+		return
+	}
+	delete(s.held, r.ID)
+	if s.put(r) {
+		s.publish()
+	}
+}
+
+// delayedChange is a change of a server that takes place later unless it is cancelled
+// before. A timer that was stopped may have fired already and wait for the lock, so its
+// function checks that the change is still listed.
+type delayedChange struct {
+	timer *time.Timer
+}
+
+// cancel cancels the delayed change of a server, if there is one. The caller holds the
+// lock.
+func cancel(changes map[string]*delayedChange, id string) {
+	if change := changes[id]; change != nil {
+		change.timer.Stop()
+		delete(changes, id)
 	}
 }
 
@@ -325,7 +345,7 @@
 func (s *Set) Remove(id string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.release(id)
+	cancel(s.held, id)
 	if _, known := s.servers[id]; known {
 		s.remove(id)
 		s.publish()
@@ -337,10 +357,7 @@
 	server := s.servers[id]
 	delete(s.servers, id)
 	s.departures.add(server.Registration, s.era)
-	if timer := s.missing[id]; timer != nil {
-		timer.Stop()
-		delete(s.missing, id)
-	}
+	cancel(s.missing, id)
 	// Requests that hold the server from an earlier snapshot must not start there.
 	status := *server.Status()
 	status.Draining = true
@@ -354,11 +371,23 @@
 func (s *Set) MarkMissing(id string, within time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.release(id)
+	cancel(s.held, id)
 	if s.servers[id] == nil || s.missing[id] != nil {
 		return
 	}
-	s.missing[id] = time.AfterFunc(within, func() { s.Remove(id) })
+	change := &delayedChange{}
+	change.timer = time.AfterFunc(within, func() { s.removeMissing(id, change) })
+	s.missing[id] = change
+}
+
+// removeMissing removes a missing server unless that was cancelled.
+func (s *Set) removeMissing(id string, change *delayedChange) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.missing[id] == change {
+		s.remove(id)
+		s.publish()
+	}
 }
 
 // IDs returns the ids of all servers in order, also of missing servers and of those whose
--- a/internal/leaving/leaving.go
+++ b/internal/leaving/leaving.go
@@ -1,6 +1,6 @@
 // Package leaving handles the announcements of backend servers that they are leaving.
-// Such a server gets no new work from the instance that read the announcement, and the
-// others hear of it, often before the server's registration says so.
+// Such a server gets no new work from the instance that read the announcement. The other
+// instances receive a notice, often before the server's registration changes.
 package leaving
 
 import (
@@ -37,7 +37,8 @@
 }
 
 // Announced records that a server announced in an answer to this instance that it is
-// leaving. The peers are told once, unless the registration or a peer said so before.
+// leaving. The peers are notified once, unless the registration or a peer announced it
+// before.
 func (n *Notifier) Announced(server *fleet.Server) {
 	isNews := !server.Status().Draining
 	started := server.Registration.Started
--- a/internal/peers/mesh/domains_test.go
+++ b/internal/peers/mesh/domains_test.go
@@ -98,7 +98,7 @@
 }
 
 // TestInstancesOfADomainHearTheLoadOfAllOthers covers domains of many instances before few
-// servers: one that hears of a quarter of the load picks busy servers.
+// servers: one that receives a quarter of the load reports picks busy servers.
 func TestInstancesOfADomainHearTheLoadOfAllOthers(t *testing.T) {
 	for _, each := range []int{17, 28, 35} {
 		all := domainFleet(6, each)
--- a/internal/storefeed/era_test.go
+++ b/internal/storefeed/era_test.go
@@ -104,8 +104,8 @@
 	}
 }
 
-// TestInstanceCutFromTheStoreFollowsANewEra covers an instance that hears of a restore
-// only from its peers.
+// TestInstanceCutFromTheStoreFollowsANewEra covers an instance that learns of a
+// restore only from its peers.
 func TestInstanceCutFromTheStoreFollowsANewEra(t *testing.T) {
 	withFleet(t, 12, func(t *testing.T, f *testFleet) {
 		time.Sleep(5 * time.Second)
--- a/internal/storefeed/messages.go
+++ b/internal/storefeed/messages.go
@@ -166,9 +166,9 @@
 	t.confirm(time.Duration(m.Now))
 }
 
-// continues reports whether a change leads on from the known position. One over a gap or
-// into a later era tells how the sender's rows differ from those at its base: it says
-// nothing of rows that others have seen come and go since. The caller holds the lock.
+// continues reports whether a change can be applied to the known position. A change over
+// a gap or into a later era is the difference between the sender's rows and those at its
+// base, so it does not contain rows that were added and deleted in between. The caller holds the lock.
 func (t *table) continues(m change) bool {
 	if m.Gap || m.Base.Era != m.Position.Era {
 		return t.position == m.Base
--- a/internal/storefeed/storefeed.go
+++ b/internal/storefeed/storefeed.go
@@ -26,11 +26,11 @@
 var ErrHistoryGone = errors.New("store no longer has the history after the revision")
 
 const (
-	// peerListTime is how long after its start an instance that is not connected to its
-	// peers yet waits until it reads again which peers there are.
+	// peerListTime is how long after its start an instance without connected peers waits
+	// before it reads the list of peers again.
 	peerListTime = 600 * time.Millisecond
-	// connectTime is how long after its start an instance expects to be connected to its
-	// peers. After it, one without connections counts as isolated.
+	// connectTime is the time after its start in which an instance connects to its peers.
+	// Later, an instance without connected peers counts as isolated.
 	connectTime = 1200 * time.Millisecond
 )
 
@@ -146,9 +146,9 @@
 	group.Wait()
 }
 
-// isolated reports whether no peer is connected, as in a partition. An instance then
-// reads the store itself. Instances that all start together would all read it until they
-// are connected; they read only the list of peers meanwhile.
+// isolated reports whether the instance must read the store itself because no peer is
+// connected. While it connects after its start it reads only the list of peers: if all
+// instances start together, each would read every table.
 func (t *table) isolated() bool {
 	uptime := time.Since(t.f.started)
 	if uptime < peerListTime || uptime < connectTime && !t.ListsPeers {
--- a/internal/storefeed/table.go
+++ b/internal/storefeed/table.go
@@ -232,9 +232,9 @@
 	return missed
 }
 
-// hasChanged reports whether a row differs from the one known at a base. In another era
-// the row's revision does not tell: the restored row may have had it with another
-// content. The caller holds the lock.
+// hasChanged reports whether a row differs from the one known at a base. Across eras
+// revisions can't be compared, because the restored row may have the same revision with
+// different content. The caller holds the lock.
 func (t *table) hasChanged(row Row, base Position) bool {
 	if row.Era == base.Era {
 		return row.Revision > base.Revision
