--- a/internal/peers/mesh/domains_test.go
+++ b/internal/peers/mesh/domains_test.go
@@ -97,9 +97,9 @@
 	}
 }
 
-// TestInstancesOfADomainHearTheLoadOfAllOthers covers domains of many instances before few
+// TestInstancesOfADomainReceiveAllLoadReports covers domains of many instances before few
 // servers: one that receives a quarter of the load reports picks busy servers.
-func TestInstancesOfADomainHearTheLoadOfAllOthers(t *testing.T) {
+func TestInstancesOfADomainReceiveAllLoadReports(t *testing.T) {
 	for _, each := range []int{17, 28, 35} {
 		all := domainFleet(6, each)
 		for _, p := range all[:each] {
--- a/internal/storefeed/messages.go
+++ b/internal/storefeed/messages.go
@@ -195,29 +195,6 @@
 	t.confirm(time.Duration(m.Now))
 }
 
-// rowsInEra returns all rows, in the order of their revisions, as rows of an era in which
-// none of them has changed. The caller holds the lock.
-func (t *table) rowsInEra(era uint64) []Row {
-	rows := make([]Row, 0, len(t.rows))
-	for key, row := range t.rows {
-		row.Era = era
-		t.rows[key] = row
-		rows = append(rows, row)
-	}
-	slices.SortFunc(rows, func(a, b Row) int { return cmp.Compare(a.Revision, b.Revision) })
-	return rows
-}
-
-func countDeleted(rows []Row) int {
-	n := 0
-	for _, row := range rows {
-		if row.Deleted {
-			n++
-		}
-	}
-	return n
-}
-
 // decodeRows returns the rows of a message in the order of their revisions. Complete
 // is false if the rows can't be decompressed or a patch does not apply. The caller holds
 // the lock.
