upgrade, dispatch: Log what a release was judged on, count repeats by service

The logs of a bad release that was served too long showed neither the share of requests that an instance gave it nor the answers that it knew of, and not when a request fell back to any release because the selected one had no server. For repeats that piled up no metric told the services apart.

--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -111,7 +111,7 @@
 		TargetLatency: x.route.TargetLatency,
 		Utilization:   x.d.Fleet.Snapshot().Utilization(x.service, x.release),
 	})
-	if !ok || !x.d.Budget.Take() {
+	if !ok || !x.takeRepeat() {
 		return false
 	}
 	x.d.Log.Log(events.ExchangeEscalated, events.Fields{
--- a/internal/dispatch/exchange.go
+++ b/internal/dispatch/exchange.go
@@ -252,7 +252,17 @@
 		return false
 	}
 	// A failed connection put no load on a server, so its retry costs no budget.
-	return outcome == retry.OutcomeConnectFailed || x.d.Budget.Take()
+	return outcome == retry.OutcomeConnectFailed || x.takeRepeat()
+}
+
+// takeRepeat takes a repeat of the request from the retry budget, if one is left.
+func (x *exchange) takeRepeat() bool {
+	if !x.d.Budget.Take() {
+		x.d.Metrics.RepeatsDenied.Add(x.service, 1)
+		return false
+	}
+	x.d.Metrics.Repeats.Add(x.service, 1)
+	return true
 }
 
 func reasonOf(outcome retry.Outcome) Reason {
--- a/internal/dispatch/pick.go
+++ b/internal/dispatch/pick.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"github.com/basilrail/basilrail/internal/events"
 	"github.com/basilrail/basilrail/internal/fleet"
 	"github.com/basilrail/basilrail/internal/prefill"
 	"github.com/basilrail/basilrail/internal/scheduling"
@@ -33,6 +34,9 @@
 func (x *exchange) pick() (*fleet.Server, scheduling.Decision, *Refusal) {
 	snap := x.d.Fleet.Snapshot()
 	release := x.releaseIn(snap)
+	if release != x.release {
+		x.d.Log.Log(events.ExchangeReleaseMissing, events.Fields{RequestID: x.req.ID, Path: x.service, Version: x.release})
+	}
 	now := time.Now()
 	req := scheduling.Request{
 		Service:       x.service,
--- a/internal/events/events.go
+++ b/internal/events/events.go
@@ -50,6 +50,10 @@
 	Outcome  string
 	Status   int
 	Load     float64
+	// Bad is the number of bad answers among Count.
+	Bad int
+	// Share is a fraction of the requests or sessions.
+	Share float64
 	// Latency is the time to the first chunk of the response.
 	Latency    time.Duration
 	RetryAfter time.Duration
@@ -138,6 +142,7 @@
 		}
 	}
 	integer("count", f.Count)
+	integer("bad", f.Bad)
 	integer("status", f.Status)
 	duration := func(name string, value time.Duration) {
 		if value != 0 {
@@ -157,6 +162,9 @@
 	if f.Load != 0 {
 		v.float("load", math.Round(f.Load*100)/100)
 	}
+	if f.Share != 0 {
+		v.float("share", math.Round(f.Share*1000)/1000)
+	}
 	if f.Err != nil {
 		v.text("error", f.Err.Error())
 	}
--- a/internal/events/exchanges.go
+++ b/internal/events/exchanges.go
@@ -27,4 +27,9 @@
 		Message: "a stream was aborted after part of it had been sent to the caller",
 		Action:  "The attempts with the same request id show which servers disconnected mid-response.",
 	})
+	ExchangeReleaseMissing = register(Event{
+		Number: 2106, Name: "exchange_release_missing", Level: logrus.WarnLevel,
+		Message: "no server of the release selected for a request is known; version is that release",
+		Action:  "Check whether the servers of the release deregistered.",
+	})
 )
--- a/internal/events/upgrades.go
+++ b/internal/events/upgrades.go
@@ -14,7 +14,7 @@
 	})
 	UpgradeReleaseBad = register(Event{
 		Number: 5103, Name: "upgrade_release_bad", Level: logrus.WarnLevel,
-		Message: "a release is judged bad and gets no more requests; reason names where it answers badly, or that a peer judged it bad; count is the number of its answers",
+		Message: "a release is judged bad and gets no more requests; reason names where it answers badly, or that a peer judged it bad; count is the number of its answers, bad that of the bad ones",
 		Action:  "Check the failed attempts of the release in the log.",
 	})
 	UpgradeRecordFailed = register(Event{
@@ -22,4 +22,8 @@
 		Message: "the record of an upgrade could not be read or written; it is retried",
 		Action:  "Check the platform's store.",
 	})
+	UpgradeShareChanged = register(Event{
+		Number: 5105, Name: "upgrade_share_changed", Level: logrus.InfoLevel,
+		Message: "the share of the requests that may run on an upgrade's new release changed at this instance; count and bad are the fleet's answers of the release so far and the bad ones among them",
+	})
 )
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -75,6 +75,8 @@
 	Refusals        *Counter
 	Attempts        *Counter
 	AttemptOutcomes *Counter
+	Repeats         *Counter
+	RepeatsDenied   *Counter
 	InputTokens     *Counter
 	OutputTokens    *Counter
 	Cost            *Counter
@@ -96,6 +98,8 @@
 	r.Refusals = r.counter("refusals_total", "requests", "code", "Requests refused or failed, by error code.")
 	r.Attempts = r.counter("attempts_total", "attempts", "target", "Attempts, by model@version or service.")
 	r.AttemptOutcomes = r.counter("attempt_outcomes_total", "attempts", "outcome", "Attempts, by outcome.")
+	r.Repeats = r.counter("repeats_total", "attempts", "service", "Attempts after the first of their request, by service.")
+	r.RepeatsDenied = r.counter("repeats_denied_total", "attempts", "service", "Attempts after the first that the retry budget did not allow, by service.")
 	r.InputTokens = r.counter("input_tokens_total", "tokens", "target", "Billed prompt tokens, by model@version.")
 	r.OutputTokens = r.counter("output_tokens_total", "tokens", "target", "Billed generated tokens, by model@version.")
 	r.Cost = r.counter("cost_micro_units_total", "micro-units", "client account", "Cost billed, by client account.")
--- a/internal/upgrade/evidence.go
+++ b/internal/upgrade/evidence.go
@@ -238,15 +238,18 @@
 	return "", false
 }
 
-// answers returns the number of the new release's answers at all instances.
-func (e *upgradeEvidence) answers() uint64 {
-	var n uint64
+// newAnswers returns the counts of the new release's answers at all instances.
+func (e *upgradeEvidence) newAnswers() rollout.Counts {
+	var all rollout.Counts
+	if e == nil {
+		return all
+	}
 	for key, counts := range e.totals() {
 		if key.Variant == variantNew {
-			n += counts.Total()
+			all.Good, all.Bad = all.Good+counts.Good, all.Bad+counts.Bad
 		}
 	}
-	return n
+	return all
 }
 
 func badRateLimit(old rollout.Counts) float64 {
--- a/internal/upgrade/step.go
+++ b/internal/upgrade/step.go
@@ -190,19 +190,34 @@
 	if !u.bad && u.machine.State() == statechart.UpgradeObserving && c.progress(u) >= firstMoveStart {
 		c.fire(u, statechart.UpgradeHalfPassed)
 	}
+	c.logShare(u)
+}
+
+// logShare logs a change of the share of requests that may run on the new release, with
+// the answers on which it depends. The caller holds the lock.
+func (c *Controller) logShare(u *upgradeState) {
+	share := 0.0
+	if !u.bad && u.stored && c.isCanaryDue(u) {
+		share = u.shareAt(c.progress(u))
+	}
+	if share == u.loggedShare {
+		return
+	}
+	u.loggedShare = share
+	answers := c.evidence.byService[u.upgrade.Service].newAnswers()
+	c.Log.Log(events.UpgradeShareChanged, events.Fields{
+		Path: u.upgrade.Service, Version: u.upgrade.To, Share: share, Count: int(answers.Total()), Bad: int(answers.Bad),
+	})
 }
 
 // markBad takes the new release out of use at this instance. The caller holds the
 // lock.
 func (c *Controller) markBad(u *upgradeState, reason string) {
 	u.bad, u.badSince = true, time.Now()
-	counts := uint64(0)
-	if e := c.evidence.byService[u.upgrade.Service]; e != nil {
-		counts = e.answers()
-	}
+	answers := c.evidence.byService[u.upgrade.Service].newAnswers()
 	c.Log.Log(events.UpgradeReleaseBad, events.Fields{
 		Path: u.upgrade.Service, Version: u.upgrade.To, Era: u.upgrade.Revision.Era, Revision: u.upgrade.Revision.Revision,
-		Reason: reason, Count: int(counts),
+		Reason: reason, Count: int(answers.Total()), Bad: int(answers.Bad),
 	})
 }
 
@@ -275,5 +290,5 @@
 	if u.machine.State() != statechart.UpgradeMoving || progress < completeStart {
 		return false
 	}
-	return c.evidence.byService[u.upgrade.Service].answers() >= minAnswers || progress >= minAnswersUntil
+	return c.evidence.byService[u.upgrade.Service].newAnswers().Total() >= minAnswers || progress >= minAnswersUntil
 }
--- a/internal/upgrade/upgrade.go
+++ b/internal/upgrade/upgrade.go
@@ -170,6 +170,8 @@
 	// bad is true if this instance or a peer marked the release as bad, at badSince.
 	bad      bool
 	badSince time.Time
+	// loggedShare is the share of requests on the new release that was last logged.
+	loggedShare float64
 	// savedAt is the time of the last attempt to write the record.
 	savedAt time.Time
 	// evidenceSentAt is when this instance last sent its evidence, sentBad the number of
