retry, dispatch: A retry budget for each service

Cause: an instance had one budget for all services, so the requests for a healthy service paid for retries at a failing one. The limit holds for each service by itself. Now each service has its own budget, filled only by its own requests.

--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -151,7 +151,7 @@
 	b.d = New(Options{
 		Routing: b.state, Fleet: set, Transport: b.script, Releases: noReleases{},
 		Disconnects: quarantine.NewDisconnectTracker(membus.New().Join("i", "here"), nil),
-		Budget:      retry.NewBudget(0.5, 100), FailureDomain: "here", Seed: 1, Metrics: metrics.New(metrics.Sources{}),
+		Budgets:     retry.NewBudgets(0.5, 100), FailureDomain: "here", Seed: 1, Metrics: metrics.New(metrics.Sources{}),
 	})
 	return b
 }
@@ -310,7 +310,7 @@
 
 func TestRetryBudgetLimitsAttempts(t *testing.T) {
 	b := newSetup()
-	b.d.Budget = retry.NewBudget(0.001, 1)
+	b.d.Budgets = retry.NewBudgets(0.001, 1)
 	b.script.steps = []step{fails(retry.OutcomeDisconnected), fails(retry.OutcomeDisconnected), fails(retry.OutcomeDisconnected), fails(retry.OutcomeDisconnected)}
 	b.serve("/read/")
 	b.serve("/read/")
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -83,7 +83,8 @@
 	// Notifier may be nil.
 	Notifier    UnresponsiveNotifier
 	Disconnects DisconnectTracker
-	Budget      *retry.Budget
+	// Budgets bounds the attempts after the first.
+	Budgets *retry.Budgets
 	// FailureDomain is the failure domain of this instance.
 	FailureDomain string
 	// Seed seeds the random decisions, so that tests are reproducible.
@@ -152,8 +153,8 @@
 	x.finish(refusal)
 }
 
-// prepare finds the route and the client account, sets the deadline, adds the request
-// to the retry budget and chooses the service.
+// prepare finds the route and the client account, sets the deadline and chooses the
+// service.
 func (x *exchange) prepare() *Refusal {
 	x.table = x.d.Routing.Table()
 	if x.table == nil {
@@ -173,7 +174,6 @@
 	if timeout := x.req.CallerTimeout; timeout > 0 && (route.Timeout <= 0 || timeout < route.Timeout) {
 		x.deadline = x.req.Arrived.Add(timeout)
 	}
-	x.d.Budget.Request()
 	return x.plan()
 }
 
@@ -190,13 +190,15 @@
 	return nil
 }
 
-// plan chooses the service, its release and the model tiers that may answer.
+// plan chooses the service, its release and the model tiers that may answer, and adds
+// the request to the service's retry budget.
 func (x *exchange) plan() *Refusal {
 	service, ok := x.route.Choose(x.d.draw())
 	if !ok {
 		return refused(NoServer, longRetryAfter)
 	}
 	x.service = service
+	x.d.Budgets.Request(service)
 	x.release = x.d.Releases.Choose(service, x.req.Session)
 	if !x.req.AnyModel {
 		return nil
--- a/internal/dispatch/exchange.go
+++ b/internal/dispatch/exchange.go
@@ -255,9 +255,9 @@
 	return outcome == retry.OutcomeConnectFailed || x.takeRepeat()
 }
 
-// takeRepeat takes a repeat of the request from the retry budget, if one is left.
+// takeRepeat takes a repeat from the service's retry budget, if one is left.
 func (x *exchange) takeRepeat() bool {
-	if !x.d.Budget.Take() {
+	if !x.d.Budgets.Take(x.service) {
 		x.d.Metrics.RepeatsDenied.Add(x.service, 1)
 		return false
 	}
--- a/internal/retry/budget.go
+++ b/internal/retry/budget.go
@@ -22,13 +22,6 @@
 	tokensPerRequest, maxTokens float64
 }
 
-// NewBudget returns a full budget to which each request adds tokensPerRequest tokens,
-// up to maxTokens. Operators set the limits for the whole fleet; the caller passes the
-// instance's share.
-func NewBudget(tokensPerRequest, maxTokens float64) *Budget {
-	return &Budget{tokens: maxTokens, tokensPerRequest: tokensPerRequest, maxTokens: maxTokens}
-}
-
 // Request adds the tokens of a new request.
 func (b *Budget) Request() {
 	b.mu.Lock()
