upgrade: Split requests without a session between the releases

Cause: a request was assigned to a release by the hash of its session. Requests without a session all have the same hash, so a plain service had no canary at all, or sent everything to the new release at once. Such requests are now drawn one by one.

TestRequestsWithoutASessionAreSplitBetweenReleases failed before (no request of 1,000 in the canary).

--- a/internal/upgrade/sessions.go
+++ b/internal/upgrade/sessions.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/binary"
+	"math/rand/v2"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -42,6 +43,15 @@
 	return float64(xxhash.Sum64(append(text, upgrade.To...))>>11) / (1 << 53)
 }
 
+// drawFraction returns the position of a request in [0, 1), by which it is assigned to a
+// release: that of its session, or a random one if it has none.
+func drawFraction(upgrade Upgrade, session string, key sessionKey) float64 {
+	if session == "" {
+		return rand.Float64()
+	}
+	return hashFraction(upgrade, key)
+}
+
 // sessionTTL is the time after a session's last request from which the session
 // counts as new: the longest time that the answer may take plus the idle time.
 func (c *Controller) sessionTTL() time.Duration { return c.SessionIdleTimeout + maxAnswerDuration }
--- a/internal/upgrade/upgrade.go
+++ b/internal/upgrade/upgrade.go
@@ -334,7 +334,7 @@
 		return u.upgrade.To
 	case isRecent && u.machine.State() == statechart.UpgradeObserving:
 		return old
-	case hashFraction(u.upgrade, key) < u.shareAt(c.progress(u)):
+	case drawFraction(u.upgrade, session, key) < u.shareAt(c.progress(u)):
 		return u.upgrade.To
 	}
 	return old
--- a/internal/upgrade/upgrade_test.go
+++ b/internal/upgrade/upgrade_test.go
@@ -279,3 +279,32 @@
 		f.stop()
 	})
 }
+
+// TestRequestsWithoutASessionAreSplitBetweenReleases guards against a service without
+// sessions, all of whose requests go to the new release or all to the old one: the canary
+// then gets no answers, or everything.
+func TestRequestsWithoutASessionAreSplitBetweenReleases(t *testing.T) {
+	for _, release := range []string{"v2", "v3", "v4", "v5"} {
+		synctest.Test(t, func(t *testing.T) {
+			f := startFleet(t, 2)
+			for i, c := range f.controllers {
+				f.sets[i].Put(registrations(release)...)
+				c.Start(Upgrade{Service: service, To: release, Duration: 24 * time.Second, Revision: storefeed.Position{Revision: 7}}, false)
+			}
+			choose := func(d time.Duration) (share float64) {
+				const interval = 10 * time.Millisecond
+				counts := make(map[string]float64)
+				for n := range int(d / interval) {
+					counts[f.controllers[n%2].Choose(service, "")]++
+					time.Sleep(interval)
+				}
+				return counts[release] / (counts[release] + counts[oldRelease])
+			}
+			choose(2 * time.Second)
+			canary := choose(10 * time.Second)
+			assert.Positive(t, canary, release)
+			assert.Less(t, canary, 0.2, release)
+			f.stop()
+		})
+	}
+}
