upgrade, dispatch: A withdrawn release gets no request, whatever else is missing

A release that was judged bad could still get requests (EXPOSURE) in three ways: if no server of the old one was known, a request ran on any release; a retry or a resumed stream kept the release that was selected before the verdict; and in the next upgrade the servers of the bad one, which drain for some seconds, could be taken for those of the old release.

The dispatcher now asks for every attempt whether the release was withdrawn, and refuses with a time to return if no other has a server. A completed upgrade outweighs a late verdict: the old servers are stopped then.

TestWithdrawnReleaseGetsNoRequestWhenTheOtherHasNoServer and TestReleaseWithdrawnEarlierIsNotTheOldOne failed before.

--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -125,8 +125,9 @@
 
 type noReleases struct{}
 
-func (noReleases) Choose(string, string) string { return "" }
-func (noReleases) Observe(Observation)          {}
+func (noReleases) Choose(string, string) string    { return "" }
+func (noReleases) IsWithdrawn(string, string) bool { return false }
+func (noReleases) Observe(Observation)             {}
 
 // newBudgets returns budgets that allow so many retries a service.
 func newBudgets(retries int) *retry.Budgets {
@@ -357,3 +358,31 @@
 	b.serve("/read/")
 	assert.True(t, b.d.Disconnects.Empty(), "a failure response is an answer")
 }
+
+// oneWithdrawn selects the release "good"; the release "bad" is withdrawn.
+type oneWithdrawn struct{ noReleases }
+
+func (oneWithdrawn) Choose(string, string) string       { return "good" }
+func (oneWithdrawn) IsWithdrawn(_, release string) bool { return release == "bad" }
+
+// TestWithdrawnReleaseGetsNoRequestWhenTheOtherHasNoServer guards against a bad release
+// that serves whatever finds no server of the good one.
+func TestWithdrawnReleaseGetsNoRequestWhenTheOtherHasNoServer(t *testing.T) {
+	b := newSetup(answers(200, "served"))
+	b.d.Releases = oneWithdrawn{}
+	put := func(release string) {
+		for _, id := range []string{"a", "b", "c", "d", "e"} {
+			b.d.Fleet.Put(fleet.Registration{ID: "web" + id, Service: "web", Address: id + ":1", FailureDomain: "here", Slots: 4, Release: release})
+		}
+	}
+	put("bad")
+	c := b.serve("/read/")
+	require.NotNil(t, c.refusal)
+	assert.Equal(t, NoServer, c.refusal.Reason)
+	assert.Equal(t, apierror.NotRun, c.refusal.Execution)
+	assert.Positive(t, c.refusal.RetryAfter)
+	assert.Empty(t, b.script.attempts)
+
+	put("third")
+	assert.Nil(t, b.serve("/read/").refusal, "served by a release that is neither selected nor withdrawn")
+}
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -34,6 +34,8 @@
 type Releases interface {
 	// Choose returns the release, or "" if any release may run the request.
 	Choose(service, session string) string
+	// IsWithdrawn reports whether a release was judged bad and must get no request.
+	IsWithdrawn(service, release string) bool
 	// Observe records the result of an attempt.
 	Observe(o Observation)
 }
--- a/internal/dispatch/pause.go
+++ b/internal/dispatch/pause.go
@@ -110,8 +110,12 @@
 // pausedRefusal returns the refusal of a request for which there is no server but those
 // that asked for a pause; nil if there is none of these.
 func (x *exchange) pausedRefusal(snap *fleet.Snapshot, now time.Time) *Refusal {
+	release, ok := x.releaseIn(snap)
+	if !ok {
+		return nil
+	}
 	var earliest time.Time
-	for _, server := range snap.Candidates(x.service, x.releaseIn(snap)) {
+	for _, server := range snap.Candidates(x.service, release) {
 		until := server.PausedUntil()
 		if server.Status().Draining {
 			continue
--- a/internal/dispatch/pick.go
+++ b/internal/dispatch/pick.go
@@ -33,10 +33,13 @@
 // degraded, or else one that is not ejected, or else any.
 func (x *exchange) pick() (*fleet.Server, scheduling.Decision, *Refusal) {
 	snap := x.d.Fleet.Snapshot()
-	release := x.releaseIn(snap)
-	if release != x.release {
+	release, ok := x.releaseIn(snap)
+	if !ok || release != x.release {
 		x.d.Log.Log(events.ExchangeReleaseMissing, events.Fields{RequestID: x.req.ID, Path: x.service, Version: x.release})
 	}
+	if !ok {
+		return nil, scheduling.Decision{}, &Refusal{Reason: NoServer, Execution: x.execution, RetryAfter: shortRetryAfter}
+	}
 	now := time.Now()
 	req := scheduling.Request{
 		Service:       x.service,
@@ -63,12 +66,22 @@
 }
 
 // releaseIn returns the release to which the request is restricted; empty for any
-// release, also if no server has the selected one.
-func (x *exchange) releaseIn(snap *fleet.Snapshot) string {
-	if x.release != "" && len(snap.Candidates(x.service, x.release)) == 0 {
-		return ""
+// release. It is the selected one unless that has no server or was withdrawn meanwhile; ok
+// is false if all others were withdrawn.
+func (x *exchange) releaseIn(snap *fleet.Snapshot) (release string, ok bool) {
+	isWithdrawn := func(release string) bool { return x.d.Releases.IsWithdrawn(x.service, release) }
+	if x.release != "" && len(snap.Candidates(x.service, x.release)) > 0 && !isWithdrawn(x.release) {
+		return x.release, true
+	}
+	all := snap.Releases(x.service)
+	usable := slices.DeleteFunc(slices.Clone(all), isWithdrawn)
+	switch len(usable) {
+	case len(all):
+		return "", true
+	case 0:
+		return "", false
 	}
-	return x.release
+	return usable[0], true
 }
 
 // choose picks a server of this instance's failure domain, unless the estimated
--- a/internal/upgrade/upgrade.go
+++ b/internal/upgrade/upgrade.go
@@ -131,10 +131,12 @@
 	// upgrades holds the latest upgrade of each service.
 	upgrades map[string]*upgradeState
 	// settled holds the release of each service without an upgrade, see settledRelease.
-	settled  map[string]string
-	recent   *lru.Cache[sessionKey, sessionRelease]
-	evidence *evidenceStore
-	rates    map[string]*rate
+	settled map[string]string
+	// withdrawn lists by service the targets of earlier upgrades that were judged bad.
+	withdrawn map[string][]string
+	recent    *lru.Cache[sessionKey, sessionRelease]
+	evidence  *evidenceStore
+	rates     map[string]*rate
 }
 
 // rate counts the requests of a service at this instance.
@@ -190,12 +192,13 @@
 	// The only error is a size below one.
 	recent, _ := lru.New[sessionKey, sessionRelease](maxRecentSessions)
 	c := &Controller{
-		Options:  o,
-		upgrades: make(map[string]*upgradeState),
-		settled:  make(map[string]string),
-		recent:   recent,
-		evidence: newEvidenceStore(),
-		rates:    make(map[string]*rate),
+		Options:   o,
+		upgrades:  make(map[string]*upgradeState),
+		settled:   make(map[string]string),
+		withdrawn: make(map[string][]string),
+		recent:    recent,
+		evidence:  newEvidenceStore(),
+		rates:     make(map[string]*rate),
 	}
 	o.Bus.Handle(peers.KindUpgradeEvidence, c.handleEvidence)
 	return c
@@ -217,6 +220,8 @@
 		// Instances that know the record of this upgrade write it again before.
 		u.extraDelay = 2 * restoredRecordDelay
 	}
+	c.withdraw(old)
+	c.withdrawn[upgrade.Service] = slices.DeleteFunc(c.withdrawn[upgrade.Service], func(release string) bool { return release == upgrade.To })
 	if old != nil {
 		u.earlier = append(old.earlier, old.upgrade)
 		u.earlier = u.earlier[max(0, len(u.earlier)-maxEarlier):]
@@ -248,9 +253,42 @@
 func (c *Controller) Cancel(service string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.withdraw(c.upgrades[service])
 	delete(c.upgrades, service)
 }
 
+// withdraw records the target of an upgrade that is replaced if it was judged bad: its
+// servers remain for some time. The caller holds the lock.
+func (c *Controller) withdraw(u *upgradeState) {
+	if u == nil || !u.isWithdrawn() {
+		return
+	}
+	service := u.upgrade.Service
+	list := append(c.withdrawn[service], u.upgrade.To)
+	c.withdrawn[service] = list[max(0, len(list)-maxEarlier):]
+}
+
+// isWithdrawn reports whether the new release was judged bad.
+func (u *upgradeState) isWithdrawn() bool {
+	state := u.machine.State()
+	return state == statechart.UpgradeReverted || u.bad && state != statechart.UpgradeCompleted
+}
+
+// IsWithdrawn implements dispatch.Releases.
+func (c *Controller) IsWithdrawn(service, release string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.isWithdrawn(service, release)
+}
+
+// isWithdrawn implements IsWithdrawn. The caller holds the lock.
+func (c *Controller) isWithdrawn(service, release string) bool {
+	if u := c.upgrades[service]; u != nil && u.upgrade.To == release {
+		return u.isWithdrawn()
+	}
+	return slices.Contains(c.withdrawn[service], release)
+}
+
 // Choose returns the release for a request; empty means any release.
 func (c *Controller) Choose(service, session string) string {
 	c.mu.Lock()
@@ -273,10 +311,10 @@
 	}
 	old := c.oldRelease(service, u.upgrade.To)
 	switch state := u.machine.State(); {
-	case u.bad, state == statechart.UpgradeReverted:
-		return old
 	case state == statechart.UpgradeCompleted:
 		return u.upgrade.To
+	case u.isWithdrawn():
+		return old
 	case !u.stored || !c.isCanaryDue(u) || !c.serves(service, u.upgrade.To):
 		return old
 	}
@@ -319,7 +357,7 @@
 	if release := c.settled[service]; release != "" {
 		return release
 	}
-	if releases := c.Fleet.Snapshot().Releases(service); len(releases) == 1 {
+	if releases := c.Fleet.Snapshot().Releases(service); len(releases) == 1 && !c.isWithdrawn(service, releases[0]) {
 		c.settled[service] = releases[0]
 	}
 	return c.settled[service]
@@ -364,10 +402,10 @@
 }
 
 // oldRelease returns the release that the service had before; empty if its servers
-// report only the new one.
+// report only the new one, or others that were withdrawn.
 func (c *Controller) oldRelease(service, to string) string {
 	for _, release := range c.Fleet.Snapshot().Releases(service) {
-		if release != to {
+		if release != to && !c.isWithdrawn(service, release) {
 			return release
 		}
 	}
--- a/internal/upgrade/upgrade_test.go
+++ b/internal/upgrade/upgrade_test.go
@@ -308,3 +308,31 @@
 		})
 	}
 }
+
+// TestReleaseWithdrawnEarlierIsNotTheOldOne guards against the servers of a bad release,
+// which remain for a time, being taken for those of the old one in the next upgrade.
+func TestReleaseWithdrawnEarlierIsNotTheOldOne(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := startFleet(t, 3)
+		f.traffic(3*time.Second, 1, goodAnswer)
+		f.upgrade()
+		f.traffic(20*time.Second, 2, func(release string, n int) (bool, time.Duration) {
+			return release == newRelease && n%2 == 0, 60 * time.Millisecond
+		})
+		require.Equal(t, statechart.UpgradeReverted, f.records.record.State)
+		for i, c := range f.controllers {
+			f.sets[i].Put(registrations("v3")...)
+			for _, r := range registrations(oldRelease) {
+				f.sets[i].Remove(r.ID)
+			}
+			c.Start(Upgrade{Service: service, To: "v3", Duration: 24 * time.Second, Revision: storefeed.Position{Revision: 9}}, false)
+			for n := range 100 {
+				assert.NotEqual(t, newRelease, c.Choose(service, fmt.Sprint("s", n)))
+			}
+			assert.True(t, c.IsWithdrawn(service, newRelease))
+			c.Start(Upgrade{Service: service, To: newRelease, Duration: 24 * time.Second, Revision: storefeed.Position{Revision: 11}}, false)
+			assert.False(t, c.IsWithdrawn(service, newRelease), "the operator requests it anew")
+		}
+		f.stop()
+	})
+}
