upgrade: Judge a release by failures and by the distribution of latencies

Until it had 20 answers at an instance, every slow answer counted as good, also after a restart. - Attempts that timed out counted for nothing. - Requests moved by the clock, whatever the evidence.

Baselines are now learned at all times by service, route and model, from the latest 64 answers. An answer is slow above the 75th percentile and very slow above the 90th; failures, slow and very slow answers are compared with the old release's in CUSUM tests, which also detect a release that turns bad late. An answer without a baseline is not judged. Requests move only once the evidence clears the release.

--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -199,13 +199,13 @@
 	}
 	// Only a failure response counts against the release; a lost connection is
 	// attributed to the server.
-	x.observe(p, err == errServerFailed)
+	x.observe(p, err == errServerFailed, outcomeOf(err) == retry.OutcomeTimeout)
 	x.logAttempt(p, err)
 }
 
 func (x *exchange) recordFailure(p *placement) {
 	x.logEjection(p, p.server.RecordFailure(time.Now()))
-	x.observe(p, true)
+	x.observe(p, true, false)
 }
 
 // recordUnresponsive records that the server can't be reached or does not respond,
@@ -226,13 +226,18 @@
 	}
 }
 
-func (x *exchange) observe(p *placement, failed bool) {
-	x.d.Releases.Observe(Observation{
+func (x *exchange) observe(p *placement, failed, timedOut bool) {
+	o := Observation{
 		Service:     x.service,
 		Release:     p.server.Registration.Release,
 		Route:       x.route.Name,
+		Model:       p.model,
 		Failed:      failed,
 		Latency:     p.latency,
 		InputTokens: x.req.Prompt.InputTokens,
-	})
+	}
+	if timedOut && p.latency == 0 {
+		o.Latency, o.GivenUp = time.Since(p.started), true
+	}
+	x.d.Releases.Observe(o)
 }
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -69,9 +69,13 @@
 	// Failed reports whether the server failed, as opposed to a fault of the
 	// request.
 	Failed bool
-	// Latency is the time to the complete answer or to the first event of a stream;
-	// zero if there was neither.
+	// Latency is the time to the complete answer or to the first event of a stream; zero
+	// if there was neither. If GivenUp is set it is the time after which the attempt
+	// ended without either.
 	Latency time.Duration
+	GivenUp bool
+	// Model is the model that was asked; empty if the caller selected it.
+	Model string
 	// InputTokens is the prompt length in tokens.
 	InputTokens int
 }
--- /dev/null
+++ b/internal/upgrade/baseline.go
@@ -0,0 +1,133 @@
+package upgrade
+
+import (
+	"slices"
+	"time"
+
+	lru "github.com/hashicorp/golang-lru/v2"
+
+	"github.com/basilrail/basilrail/internal/dispatch"
+)
+
+const (
+	// baselineSamples is the number of latest answers that a baseline holds, and
+	// minBaselineSamples that from which it is used.
+	baselineSamples    = 64
+	minBaselineSamples = 20
+	// slowQuantile and verySlowQuantile are the quantiles of the old release's latencies
+	// above which an answer is slow or very slow. A slower release moves the whole
+	// distribution; one that is slow for some requests only lengthens its tail.
+	slowQuantile     = 0.75
+	verySlowQuantile = 0.9
+	// maxBaselines bounds the kinds of answers for which a baseline is kept.
+	maxBaselines = 512
+	// baseMilliseconds and tokensPerMillisecond relate a prompt's length to the time
+	// to the first event. Only the ratio of the base time to the time per token matters,
+	// because the baseline is learned.
+	baseMilliseconds     = 30.0
+	tokensPerMillisecond = 60.0
+)
+
+// answerKind identifies answers with comparable latencies.
+type answerKind struct {
+	service, route, model string
+}
+
+// latencyBaseline holds the latest latencies of one kind of answers, as ratios to the time
+// expected from the prompt's length.
+type latencyBaseline struct {
+	samples []float64
+	next    int
+	// slow and verySlow are the quantiles; they are valid unless changed is set.
+	slow, verySlow float64
+	changed        bool
+}
+
+// add adds a sample and drops the oldest one of baselineSamples.
+func (b *latencyBaseline) add(ratio float64) {
+	b.changed = true
+	if len(b.samples) < baselineSamples {
+		b.samples = append(b.samples, ratio)
+		return
+	}
+	b.samples[b.next] = ratio
+	b.next = (b.next + 1) % baselineSamples
+}
+
+// quantiles returns the ratios above which an answer is slow and very slow; ok is false
+// while there are too few samples.
+func (b *latencyBaseline) quantiles() (slow, verySlow float64, ok bool) {
+	if len(b.samples) < minBaselineSamples {
+		return 0, 0, false
+	}
+	if b.changed {
+		sorted := slices.Sorted(slices.Values(b.samples))
+		at := func(quantile float64) float64 { return sorted[int(quantile*float64(len(sorted)-1))] }
+		b.slow, b.verySlow, b.changed = at(slowQuantile), at(verySlowQuantile), false
+	}
+	return b.slow, b.verySlow, true
+}
+
+// baselines holds the baselines of all kinds of answers. They are learned at all times, so
+// that an upgrade finds them. It is not safe for concurrent use.
+type baselines struct {
+	byKind *lru.Cache[answerKind, *latencyBaseline]
+}
+
+func newBaselines() *baselines {
+	// The only error is a size below one.
+	cache, _ := lru.New[answerKind, *latencyBaseline](maxBaselines)
+	return &baselines{byKind: cache}
+}
+
+func kindOf(o dispatch.Observation) answerKind {
+	return answerKind{service: o.Service, route: o.Route, model: o.Model}
+}
+
+// latencyRatio returns an answer's latency as a ratio to the one expected from its prompt.
+func latencyRatio(o dispatch.Observation) float64 {
+	expected := baseMilliseconds + float64(o.InputTokens)/tokensPerMillisecond
+	return float64(o.Latency) / float64(time.Millisecond) / expected
+}
+
+// learn adds an answer of a release in use.
+func (b *baselines) learn(o dispatch.Observation) {
+	if o.Failed || o.GivenUp || o.Latency == 0 {
+		return
+	}
+	kind := kindOf(o)
+	baseline, ok := b.byKind.Get(kind)
+	if !ok {
+		baseline = &latencyBaseline{}
+		b.byKind.Add(kind, baseline)
+	}
+	baseline.add(latencyRatio(o))
+}
+
+// compare returns the counts of one answer. Its latency counts only if there is a baseline
+// and, if the attempt was given up, if that took longer than the slow quantile: the answer
+// would have come later still.
+func (b *baselines) compare(o dispatch.Observation) answerCounts {
+	counts := answerCounts{Answers: 1}
+	if o.Failed {
+		counts.Failed = 1
+		return counts
+	}
+	baseline, ok := b.byKind.Get(kindOf(o))
+	if !ok {
+		return counts.unless(o.GivenUp)
+	}
+	slow, verySlow, ok := baseline.quantiles()
+	ratio := latencyRatio(o)
+	if !ok || o.GivenUp && ratio <= slow {
+		return counts.unless(o.GivenUp)
+	}
+	counts.Timed = 1
+	if ratio > slow {
+		counts.Slow = 1
+	}
+	if ratio > verySlow {
+		counts.VerySlow = 1
+	}
+	return counts
+}
--- a/internal/upgrade/evidence.go
+++ b/internal/upgrade/evidence.go
@@ -8,35 +8,9 @@
 
 	"github.com/basilrail/basilrail/internal/dispatch"
 	"github.com/basilrail/basilrail/internal/peers"
-	"github.com/basilrail/basilrail/internal/rollout"
 	"github.com/basilrail/basilrail/internal/storefeed"
 )
 
-const (
-	// slowFactor is the ratio to the baseline latency above which an answer is bad. A bad
-	// release answers several times slower than the baseline; half of its slowdown still
-	// distinguishes it from a busy server.
-	slowFactor = 3.5
-	// latencySmoothing is the weight of the latest answer in the baseline latency.
-	latencySmoothing = 0.03
-	// minBaselineAnswers is the number of answers after which the baseline is used.
-	minBaselineAnswers = 20
-	// minBadRateLimit is the bad rate up to which the new release is good regardless of
-	// the old release's bad rate: a failing server makes about 6% of its release's answers bad.
-	minBadRateLimit = 0.1
-	// oldRateFactor is the multiple of the old release's bad rate that the new one may
-	// reach.
-	oldRateFactor = 2
-	// minOldAnswers is the number of the old release's answers from which its bad rate
-	// is used.
-	minOldAnswers = 40
-	// baseMilliseconds and tokensPerMillisecond relate a prompt's length to the time
-	// to the first event. Only the ratio of the base time to the time per token matters,
-	// because the baseline is learned.
-	baseMilliseconds     = 30.0
-	tokensPerMillisecond = 60.0
-)
-
 // variant is the old or the new release of an upgrade.
 type variant uint8
 
@@ -51,10 +25,56 @@
 	Variant variant `cbor:"2,keyasint"`
 }
 
+// name returns what the key covers, in words.
+func (k evidenceKey) name() string {
+	if k.Route == "" {
+		return "all routes"
+	}
+	return "route " + k.Route
+}
+
+// answerCounts are numbers of answers of one release.
+type answerCounts struct {
+	Answers uint64 `cbor:"1,keyasint"`
+	// Failed are the failures among them.
+	Failed uint64 `cbor:"2,keyasint"`
+	// Timed are the others whose latency could be compared with a baseline, Slow and
+	// VerySlow those above its quantiles; very slow answers are slow, too.
+	Timed    uint64 `cbor:"3,keyasint"`
+	Slow     uint64 `cbor:"4,keyasint"`
+	VerySlow uint64 `cbor:"5,keyasint"`
+}
+
+func (c answerCounts) plus(o answerCounts) answerCounts {
+	return answerCounts{
+		Answers: c.Answers + o.Answers, Failed: c.Failed + o.Failed,
+		Timed: c.Timed + o.Timed, Slow: c.Slow + o.Slow, VerySlow: c.VerySlow + o.VerySlow,
+	}
+}
+
+// minus returns the difference to earlier counts; the totals only increase.
+func (c answerCounts) minus(o answerCounts) answerCounts {
+	return answerCounts{
+		Answers: c.Answers - o.Answers, Failed: c.Failed - o.Failed,
+		Timed: c.Timed - o.Timed, Slow: c.Slow - o.Slow, VerySlow: c.VerySlow - o.VerySlow,
+	}
+}
+
+// unless returns no counts if the condition holds.
+func (c answerCounts) unless(condition bool) answerCounts {
+	if condition {
+		return answerCounts{}
+	}
+	return c
+}
+
+// bad returns the answers that failed or were very slow.
+func (c answerCounts) bad() uint64 { return c.Failed + c.VerySlow }
+
 // variantCounts is one instance's total for a key; totals only increase.
 type variantCounts struct {
-	Key    evidenceKey    `cbor:"1,keyasint"`
-	Counts rollout.Counts `cbor:"2,keyasint"`
+	Key    evidenceKey  `cbor:"1,keyasint"`
+	Counts answerCounts `cbor:"2,keyasint"`
 }
 
 // evidenceMessage is the body of peers.KindUpgradeEvidence.
@@ -67,6 +87,8 @@
 	Counts []variantCounts `cbor:"4,keyasint"`
 	// Bad reports that the sender has marked the new release as bad.
 	Bad bool `cbor:"5,keyasint"`
+	// Steps is the number of steps in which the sender lets requests move.
+	Steps int `cbor:"8,keyasint,omitempty"`
 	// Pins are sessions that the sender saw on the old release although their hash
 	// assigns them to the new one.
 	Pins []sessionPin `cbor:"6,keyasint,omitempty"`
@@ -88,16 +110,8 @@
 
 // upgradeEvidence is the evidence about one upgrade.
 type upgradeEvidence struct {
-	own       map[evidenceKey]rollout.Counts
-	peers     map[source][]variantCounts
-	baselines map[string]*latencyBaseline
-}
-
-// latencyBaseline is the usual time to the first event of a route's answers, as a
-// ratio to the time expected from the prompt's length.
-type latencyBaseline struct {
-	factor  float64
-	answers int
+	own   routeCounts
+	peers map[source][]variantCounts
 }
 
 // evidenceStore holds the evidence by service.
@@ -110,48 +124,20 @@
 }
 
 func (s *evidenceStore) reset(upgrade Upgrade) {
-	s.byService[upgrade.Service] = &upgradeEvidence{
-		own:       make(map[evidenceKey]rollout.Counts),
-		peers:     make(map[source][]variantCounts),
-		baselines: make(map[string]*latencyBaseline),
-	}
+	s.byService[upgrade.Service] = &upgradeEvidence{own: make(routeCounts), peers: make(map[source][]variantCounts)}
 }
 
-// observe counts one attempt as good or bad.
-func (s *evidenceStore) observe(upgrade Upgrade, o dispatch.Observation) {
+// observe counts one answer.
+func (s *evidenceStore) observe(upgrade Upgrade, o dispatch.Observation, counts answerCounts) {
 	e := s.byService[o.Service]
-	if e == nil || (o.Latency == 0 && !o.Failed) {
+	if e == nil || counts == (answerCounts{}) {
 		return
 	}
 	key := evidenceKey{Route: o.Route, Variant: variantOld}
 	if o.Release == upgrade.To {
 		key.Variant = variantNew
 	}
-	counts := e.own[key]
-	if o.Failed || e.isSlow(key, o) {
-		counts.Bad++
-	} else {
-		counts.Good++
-	}
-	e.own[key] = counts
-}
-
-// isSlow reports whether an answer is slow compared with the old release's
-// baseline latency, and updates the baseline from the old release's answers.
-func (e *upgradeEvidence) isSlow(key evidenceKey, o dispatch.Observation) bool {
-	expected := baseMilliseconds + float64(o.InputTokens)/tokensPerMillisecond
-	factor := float64(o.Latency.Microseconds()) / 1000 / expected
-	baseline := e.baselines[o.Route]
-	if baseline == nil {
-		baseline = &latencyBaseline{factor: factor}
-		e.baselines[o.Route] = baseline
-	}
-	slow := baseline.answers >= minBaselineAnswers && factor > slowFactor*baseline.factor
-	if key.Variant == variantOld {
-		baseline.factor += latencySmoothing * (min(factor, slowFactor*baseline.factor) - baseline.factor)
-		baseline.answers++
-	}
-	return slow
+	e.own[key] = e.own[key].plus(counts)
 }
 
 // badAnswers returns the number of the new release's bad answers at this instance.
@@ -160,7 +146,7 @@
 	if e := s.byService[upgrade.Service]; e != nil {
 		for key, counts := range e.own {
 			if key.Variant == variantNew {
-				bad += counts.Bad
+				bad += counts.bad()
 			}
 		}
 	}
@@ -192,69 +178,33 @@
 	}
 	e.peers[source{instance: msg.From, epoch: m.Epoch}] = m.Counts
 	c.mergePins(current, m.Pins)
+	if current.verdict.suspicion < suspicionThreshold {
+		current.steps = max(current.steps, min(m.Steps, len(moveSteps)))
+	}
 	if m.Bad && !current.bad {
 		c.markBad(current, "marked as bad by a peer")
 	}
 	return nil, nil
 }
 
-// totals returns the sums over all instances.
-func (e *upgradeEvidence) totals() map[evidenceKey]rollout.Counts {
-	sum := make(map[evidenceKey]rollout.Counts, len(e.own))
+// totals returns the sums over all instances, by route and in all.
+func (e *upgradeEvidence) totals() routeCounts {
+	sum := make(routeCounts, len(e.own))
 	for key, counts := range e.own {
 		sum[key] = counts
 	}
 	for _, list := range e.peers {
 		for _, c := range list {
-			counts := sum[c.Key]
-			counts.Good += c.Counts.Good
-			counts.Bad += c.Counts.Bad
-			sum[c.Key] = counts
+			sum[c.Key] = sum[c.Key].plus(c.Counts)
 		}
 	}
-	return sum
-}
-
-// isBad tests the new release on all routes together and on each route; reason is
-// "all routes", or a single route on which it is bad.
-func (e *upgradeEvidence) isBad() (reason string, bad bool) {
-	var allNew, allOld rollout.Counts
-	sum := e.totals()
-	for key, counts := range sum {
-		if key.Variant == variantOld {
-			allOld.Good, allOld.Bad = allOld.Good+counts.Good, allOld.Bad+counts.Bad
-			continue
-		}
-		allNew.Good, allNew.Bad = allNew.Good+counts.Good, allNew.Bad+counts.Bad
-	}
-	if rollout.Exceeds(allNew, badRateLimit(allOld)) {
-		return "all routes", true
-	}
-	for key, counts := range sum {
-		if key.Variant == variantNew && rollout.Exceeds(counts, badRateLimit(sum[evidenceKey{Route: key.Route}])) {
-			return "route " + key.Route, true
-		}
-	}
-	return "", false
+	return sum.withTotals()
 }
 
 // newAnswers returns the counts of the new release's answers at all instances.
-func (e *upgradeEvidence) newAnswers() rollout.Counts {
-	var all rollout.Counts
+func (e *upgradeEvidence) newAnswers() answerCounts {
 	if e == nil {
-		return all
-	}
-	for key, counts := range e.totals() {
-		if key.Variant == variantNew {
-			all.Good, all.Bad = all.Good+counts.Good, all.Bad+counts.Bad
-		}
-	}
-	return all
-}
-
-func badRateLimit(old rollout.Counts) float64 {
-	if old.Total() < minOldAnswers {
-		return minBadRateLimit
+		return answerCounts{}
 	}
-	return max(minBadRateLimit, oldRateFactor*old.BadRate())
+	return e.totals()[evidenceKey{Variant: variantNew}]
 }
--- a/internal/upgrade/sessions.go
+++ b/internal/upgrade/sessions.go
@@ -25,7 +25,7 @@
 	// two messages sent for new pins: each instance receives the messages of all.
 	minPinInterval = 10 * time.Millisecond
 	// maxPinsPerMessage bounds the pins in a message: a canary of canaryRate requests
-	// per second has about 25 sessions in the whole fleet.
+	// per second has about 50 sessions in the whole fleet.
 	maxPinsPerMessage = 64
 )
 
@@ -70,7 +70,7 @@
 func (c *Controller) pinRunningSessions(u *upgradeState) {
 	for _, key := range c.recent.Keys() {
 		seen, ok := c.recent.Peek(key)
-		if ok && time.Since(seen.at) < c.sessionTTL() && hashFraction(u.upgrade, key) < maxCanaryShare {
+		if ok && time.Since(seen.at) < c.sessionTTL() && hashFraction(u.upgrade, key) < c.maxCanaryShare() {
 			u.pins[key], u.hasUnsentPins = seen.at, true
 		}
 	}
@@ -80,7 +80,7 @@
 // it to the new one. The caller holds the lock.
 func (c *Controller) pinSession(u *upgradeState, key sessionKey, release string) {
 	if u == nil || release == u.upgrade.To || u.machine.State() != statechart.UpgradeObserving ||
-		hashFraction(u.upgrade, key) >= u.pinnedShare() {
+		hashFraction(u.upgrade, key) >= c.pinnedShare(u) {
 		return
 	}
 	// An existing pin is refreshed with the next evidence.
@@ -91,11 +91,11 @@
 }
 
 // pinnedShare is the share of sessions that may belong to the canary.
-func (u *upgradeState) pinnedShare() float64 {
+func (c *Controller) pinnedShare(u *upgradeState) float64 {
 	if !u.recordKnown {
-		return maxCanaryShare
+		return c.maxCanaryShare()
 	}
-	return min(maxCanaryShare, pinShareMargin*u.record.CanaryShare)
+	return min(c.maxCanaryShare(), pinShareMargin*u.record.CanaryShare)
 }
 
 // sessionPin is a session that the sender saw on the old release.
@@ -113,7 +113,7 @@
 	var list []sessionPin
 	for key, at := range u.pins {
 		age := time.Since(at)
-		if age >= c.sessionTTL() || hashFraction(u.upgrade, key) >= u.pinnedShare() {
+		if age >= c.sessionTTL() || hashFraction(u.upgrade, key) >= c.pinnedShare(u) {
 			delete(u.pins, key)
 			continue
 		}
--- a/internal/upgrade/step.go
+++ b/internal/upgrade/step.go
@@ -90,6 +90,7 @@
 	}
 	u.evidenceSentAt, u.sentBad = time.Now(), bad
 	message = c.evidence.message(u.upgrade, epoch, u.bad)
+	message.Steps = u.steps
 	message.Pins = pins
 	return message, true
 }
@@ -174,8 +175,8 @@
 	}
 }
 
-// judge marks the new release as bad if the evidence shows it, and starts the second
-// half of the upgrade when firstMoveStart has passed.
+// judge judges the new release by the evidence, and starts the second half of the upgrade
+// when it is due.
 func (c *Controller) judge(service string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -183,16 +184,60 @@
 	if u == nil || !u.recordKnown || u.machine.Final() {
 		return
 	}
-	e := c.evidence.byService[service]
-	if reason, bad := e.isBad(); bad && !u.bad {
-		c.markBad(u, reason)
+	counts, progress := c.evidence.byService[service].totals(), c.progress(u)
+	u.verdict.update(counts, u.machine.State() == statechart.UpgradeMoving)
+	if u.verdict.reason != "" && !u.bad {
+		c.markBad(u, u.verdict.reason)
 	}
-	if !u.bad && u.machine.State() == statechart.UpgradeObserving && c.progress(u) >= firstMoveStart {
+	if !u.bad {
+		c.allowSteps(u, counts, progress)
+	}
+	if !u.bad && u.machine.State() == statechart.UpgradeObserving && progress >= moveSteps[0].start {
 		c.fire(u, statechart.UpgradeHalfPassed)
 	}
+	if u.fullAt == 0 && u.shareAt(progress) == 1 {
+		u.fullAt = progress
+	}
 	c.logShare(u)
 }
 
+// allowSteps determines the steps in which requests may move. They are allowed before they
+// are due, so that all instances take them at the same time on the store's clock. The
+// caller holds the lock.
+func (c *Controller) allowSteps(u *upgradeState, counts routeCounts, progress float64) {
+	if u.verdict.suspicion >= suspicionThreshold {
+		u.holdSteps(progress)
+		return
+	}
+	all, route := counts.badness()
+	if progress >= decisionStart && u.steps < len(moveSteps) {
+		if all > leaning || route > leaning {
+			c.markBad(u, "not cleared in time")
+			return
+		}
+		u.steps = len(moveSteps)
+		return
+	}
+	if counts.old("").Answers < minOldAnswers || u.steps == len(moveSteps) {
+		return
+	}
+	next := moveSteps[u.steps]
+	if all > next.badness || route > next.routeBadness || progress < u.stepAt+minStepFraction {
+		return
+	}
+	u.steps++
+	if progress >= next.start {
+		u.stepAt = progress
+	}
+}
+
+// holdSteps disallows the steps that are not due yet.
+func (u *upgradeState) holdSteps(progress float64) {
+	for u.steps > 0 && progress < moveSteps[u.steps-1].start {
+		u.steps--
+	}
+}
+
 // logShare logs a change of the share of requests that may run on the new release, with
 // the answers on which it depends. The caller holds the lock.
 func (c *Controller) logShare(u *upgradeState) {
@@ -206,7 +251,7 @@
 	u.loggedShare = share
 	answers := c.evidence.byService[u.upgrade.Service].newAnswers()
 	c.Log.Log(events.UpgradeShareChanged, events.Fields{
-		Path: u.upgrade.Service, Version: u.upgrade.To, Share: share, Count: int(answers.Total()), Bad: int(answers.Bad),
+		Path: u.upgrade.Service, Version: u.upgrade.To, Share: share, Count: int(answers.Answers), Bad: int(answers.bad()),
 	})
 }
 
@@ -217,7 +262,7 @@
 	answers := c.evidence.byService[u.upgrade.Service].newAnswers()
 	c.Log.Log(events.UpgradeReleaseBad, events.Fields{
 		Path: u.upgrade.Service, Version: u.upgrade.To, Era: u.upgrade.Revision.Era, Revision: u.upgrade.Revision.Revision,
-		Reason: reason, Count: int(answers.Total()), Bad: int(answers.Bad),
+		Reason: reason, Count: int(answers.Answers), Bad: int(answers.bad()),
 	})
 }
 
@@ -282,13 +327,13 @@
 	return !u.lostSince.IsZero() && time.Since(u.lostSince) >= d
 }
 
-// mayComplete reports whether the upgrade may be completed: completeStart has passed, so
-// that all sessions have moved, and the new release has minAnswers answers or
+// mayComplete reports whether the upgrade may be completed: all sessions moved
+// minFullFraction of the duration ago, and the new release has minAnswers answers or
 // minAnswersUntil has passed.
 func (c *Controller) mayComplete(u *upgradeState) bool {
 	progress := c.progress(u)
-	if u.machine.State() != statechart.UpgradeMoving || progress < completeStart {
+	if u.machine.State() != statechart.UpgradeMoving || progress < completeStart || u.fullAt == 0 || progress < u.fullAt+minFullFraction {
 		return false
 	}
-	return c.evidence.byService[u.upgrade.Service].newAnswers().Total() >= minAnswers || progress >= minAnswersUntil
+	return c.evidence.byService[u.upgrade.Service].newAnswers().Answers >= minAnswers || progress >= minAnswersUntil
 }
--- a/internal/upgrade/upgrade.go
+++ b/internal/upgrade/upgrade.go
@@ -27,20 +27,19 @@
 
 const (
 	// canaryRate is the number of requests per second from the whole fleet to the new
-	// release in the first half: a release that fails a third of them shows 17 failures
-	// in 10 s. maxCanaryShare bounds it as a share of the sessions.
-	canaryRate     = 5.0
-	maxCanaryShare = 0.06
-	// The shares of sessions on the new release in the second half, and the fractions of
-	// the duration at which they begin. The last step leaves an eighth of the duration
-	// for recording the outcome.
-	firstMoveShare  = 0.3
-	firstMoveStart  = 0.52
-	secondMoveShare = 0.6
-	secondMoveStart = 0.6
-	fullMoveStart   = 0.68
-	// completeStart is the fraction of the duration from which the upgrade may complete.
-	completeStart = 0.8
+	// release in the first half: a release that fails a third of them shows 35 failures
+	// in 10 s. canaryExposure bounds the canary as a fraction of the share of the requests
+	// that a bad release may get.
+	canaryRate     = 10.0
+	canaryExposure = 0.65
+	// defaultMaxExposure is the share of the requests that a bad release may get if
+	// operators set none.
+	defaultMaxExposure = 0.1
+	// completeStart is the fraction of the duration from which the upgrade may complete,
+	// and minFullFraction that for which all requests must have run on the new release
+	// before: the old servers then stop at once.
+	completeStart   = 0.8
+	minFullFraction = 0.1
 	// maxAnswerDuration is the longest time that an answer may take. The idle time of a
 	// session is counted from the end of its last answer.
 	maxAnswerDuration = 25 * time.Second
@@ -59,6 +58,30 @@
 	stepInterval = 250 * time.Millisecond
 )
 
+// moveStep is a step of the second half of an upgrade: from a fraction of the duration on,
+// a share of the sessions moves to the new release, if the release is cleared to a degree.
+type moveStep struct {
+	start, share float64
+	// badness and routeBadness are the badness below which the release must be on all
+	// routes together and on each main route.
+	badness, routeBadness float64
+}
+
+// moveSteps leave an eighth of the duration for recording the outcome.
+var moveSteps = [...]moveStep{
+	{start: 0.52, share: 0.3, badness: -1.5, routeBadness: 0.5},
+	{start: 0.6, share: 0.6, badness: -2.5, routeBadness: -0.5},
+	{start: 0.68, share: 1, badness: -3.5, routeBadness: -1.5},
+}
+
+const (
+	// minStepFraction is the fraction of the duration between two steps.
+	minStepFraction = 0.06
+	// decisionStart is the fraction of the duration at which a release that is not cleared
+	// is either taken as bad or moved to nonetheless.
+	decisionStart = 0.85
+)
+
 // Upgrade is an operator's request to move a service to a release.
 type Upgrade struct {
 	Service string
@@ -118,6 +141,9 @@
 	Records RecordStore
 	Fleet   *fleet.Set
 	Chart   *statechart.Chart
+	// MaxExposure is the share of the requests that a bad release may get; zero for
+	// defaultMaxExposure.
+	MaxExposure float64
 	// SessionIdleTimeout is the idle time after which a session counts as new.
 	SessionIdleTimeout time.Duration
 	Log                *events.Logger
@@ -136,6 +162,7 @@
 	withdrawn map[string][]string
 	recent    *lru.Cache[sessionKey, sessionRelease]
 	evidence  *evidenceStore
+	baselines *baselines
 	rates     map[string]*rate
 }
 
@@ -172,6 +199,15 @@
 	// bad is true if this instance or a peer marked the release as bad, at badSince.
 	bad      bool
 	badSince time.Time
+	// verdict is this instance's judgement of the new release.
+	verdict verdict
+	// steps is the number of moveSteps that may take place, and stepAt the fraction of
+	// the duration at which the last of them was let in after its start.
+	steps  int
+	stepAt float64
+	// fullAt is the fraction of the duration from which all requests run on the new
+	// release; zero before.
+	fullAt float64
 	// loggedShare is the share of requests on the new release that was last logged.
 	loggedShare float64
 	// savedAt is the time of the last attempt to write the record.
@@ -198,8 +234,12 @@
 		withdrawn: make(map[string][]string),
 		recent:    recent,
 		evidence:  newEvidenceStore(),
+		baselines: newBaselines(),
 		rates:     make(map[string]*rate),
 	}
+	if c.MaxExposure <= 0 {
+		c.MaxExposure = defaultMaxExposure
+	}
 	o.Bus.Handle(peers.KindUpgradeEvidence, c.handleEvidence)
 	return c
 }
@@ -341,13 +381,16 @@
 func (c *Controller) canaryShare(service string) float64 {
 	r := c.rates[service]
 	if r == nil {
-		return maxCanaryShare
+		return c.maxCanaryShare()
 	}
 	seconds := max(1, time.Since(r.since).Seconds())
 	fleetRate := r.count / seconds * float64(len(c.Bus.Peers())+1)
-	return min(maxCanaryShare, canaryRate/max(fleetRate, canaryRate))
+	return min(c.maxCanaryShare(), canaryRate/max(fleetRate, canaryRate))
 }
 
+// maxCanaryShare is the largest share of sessions in the canary.
+func (c *Controller) maxCanaryShare() float64 { return canaryExposure * c.MaxExposure }
+
 // settledRelease returns the release of a service without an upgrade; empty while it is
 // unknown. It is the target of the last completed upgrade, or else the first release
 // found to be the only one with servers. Once known it is kept, because servers of
@@ -381,15 +424,13 @@
 // shareAt returns the share of sessions on the new release after a fraction of the
 // duration.
 func (u *upgradeState) shareAt(progress float64) float64 {
-	switch {
-	case progress >= fullMoveStart:
-		return 1
-	case progress >= secondMoveStart:
-		return secondMoveShare
-	case progress >= firstMoveStart:
-		return firstMoveShare
+	share := u.record.CanaryShare
+	for _, step := range moveSteps[:u.steps] {
+		if progress >= step.start {
+			share = step.share
+		}
 	}
-	return u.record.CanaryShare
+	return share
 }
 
 // progress returns the elapsed fraction of an upgrade's duration.
@@ -418,9 +459,20 @@
 
 // Observe records the outcome of an attempt.
 func (c *Controller) Observe(o dispatch.Observation) {
+	if o.Latency == 0 && !o.Failed {
+		return
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if u := c.upgrades[o.Service]; u != nil && !u.machine.Final() {
-		c.evidence.observe(u.upgrade, o)
+	u := c.upgrades[o.Service]
+	isRunning := u != nil && !u.machine.Final()
+	if c.isWithdrawn(o.Service, o.Release) && !(isRunning && o.Release == u.upgrade.To) {
+		return
+	}
+	if isRunning {
+		c.evidence.observe(u.upgrade, o, c.baselines.compare(o))
+	}
+	if !isRunning || o.Release != u.upgrade.To {
+		c.baselines.learn(o)
 	}
 }
