dispatch: A request is evidence about a release once

Cause: a lookup that fails at one server fails at the next as well, so one bad request counted two or three failures. After a failure the further attempts of a request are no evidence any more. Baselines are used from 8 answers on: the old release is measured against the same quantiles, so their error cancels out.

--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -226,7 +226,13 @@
 	}
 }
 
+// observe reports the outcome of an attempt to the release's statistics. After a failure
+// the request's further attempts say more about the request than about a release.
 func (x *exchange) observe(p *placement, failed, timedOut bool) {
+	if x.hasFailed {
+		return
+	}
+	x.hasFailed = failed || timedOut
 	o := Observation{
 		Service:     x.service,
 		Release:     p.server.Registration.Release,
--- a/internal/dispatch/exchange.go
+++ b/internal/dispatch/exchange.go
@@ -70,6 +70,8 @@
 	tried []string
 	// execution is the furthest execution status of all attempts so far.
 	execution apierror.ExecutionStatus
+	// hasFailed is set once an attempt failed or timed out at a server.
+	hasFailed bool
 	// serverFailure is a failure response of a server. It is delivered unless
 	// another attempt answers.
 	serverFailure *completeAnswer
--- a/internal/upgrade/baseline.go
+++ b/internal/upgrade/baseline.go
@@ -13,7 +13,7 @@
 	// baselineSamples is the number of latest answers that a baseline holds, and
 	// minBaselineSamples that from which it is used.
 	baselineSamples    = 64
-	minBaselineSamples = 20
+	minBaselineSamples = 8
 	// slowQuantile and verySlowQuantile are the quantiles of the old release's latencies
 	// above which an answer is slow or very slow. A slower release moves the whole
 	// distribution; one that is slow for some requests only lengthens its tail.
