--- a/internal/upgrade/step.go
+++ b/internal/upgrade/step.go
@@ -192,7 +192,7 @@
 	if !u.bad {
 		c.allowSteps(u, counts, progress)
 	}
-	if !u.bad && u.machine.State() == statechart.UpgradeObserving && progress >= moveSteps[0].start {
+	if !u.bad && u.machine.State() == statechart.UpgradeObserving && progress >= u.plan.steps[0].start {
 		c.fire(u, statechart.UpgradeHalfPassed)
 	}
 	if u.fullAt == 0 && u.shareAt(progress) == 1 {
@@ -201,43 +201,6 @@
 	c.logShare(u)
 }
 
-// allowSteps determines the steps in which requests may move. They are allowed before they
-// are due, so that all instances take them at the same time on the store's clock. The
-// caller holds the lock.
-func (c *Controller) allowSteps(u *upgradeState, counts routeCounts, progress float64) {
-	if u.verdict.suspicion >= suspicionThreshold {
-		u.holdSteps(progress)
-		return
-	}
-	all, route := counts.badness()
-	if progress >= decisionStart && u.steps < len(moveSteps) {
-		if all > leaning || route > leaning {
-			c.markBad(u, "not cleared in time")
-			return
-		}
-		u.steps = len(moveSteps)
-		return
-	}
-	if counts.old("").Answers < minOldAnswers || u.steps == len(moveSteps) {
-		return
-	}
-	next := moveSteps[u.steps]
-	if all > next.badness || route > next.routeBadness || progress < u.stepAt+minStepFraction {
-		return
-	}
-	u.steps++
-	if progress >= next.start {
-		u.stepAt = progress
-	}
-}
-
-// holdSteps disallows the steps that are not due yet.
-func (u *upgradeState) holdSteps(progress float64) {
-	for u.steps > 0 && progress < moveSteps[u.steps-1].start {
-		u.steps--
-	}
-}
-
 // logShare logs a change of the share of requests that may run on the new release, with
 // the answers on which it depends. The caller holds the lock.
 func (c *Controller) logShare(u *upgradeState) {
@@ -314,7 +277,7 @@
 		return r, time.Since(u.badSince) >= peers.WriteDelay(c.Bus, service)
 	case c.mayComplete(u):
 		r.State = statechart.UpgradeCompleted
-		due := time.Duration(completeStart * float64(u.upgrade.Duration))
+		due := time.Duration(u.plan.completeStart * float64(u.upgrade.Duration))
 		return r, since-due >= peers.WriteDelay(c.Bus, service)
 	case !u.stored:
 		return r, since >= peers.WriteDelay(c.Bus, service)+u.extraDelay
@@ -327,12 +290,11 @@
 	return !u.lostSince.IsZero() && time.Since(u.lostSince) >= d
 }
 
-// mayComplete reports whether the upgrade may be completed: all sessions moved
-// minFullFraction of the duration ago, and the new release has minAnswers answers or
-// minAnswersUntil has passed.
+// mayComplete reports whether the upgrade may be completed: all requests run on the new
+// release for long enough, and it has minAnswers answers or minAnswersUntil has passed.
 func (c *Controller) mayComplete(u *upgradeState) bool {
 	progress := c.progress(u)
-	if u.machine.State() != statechart.UpgradeMoving || progress < completeStart || u.fullAt == 0 || progress < u.fullAt+minFullFraction {
+	if u.machine.State() != statechart.UpgradeMoving || progress < u.plan.completeStart || u.fullAt == 0 || progress < u.fullAt+u.plan.minFull {
 		return false
 	}
 	return c.evidence.byService[u.upgrade.Service].newAnswers().Answers >= minAnswers || progress >= minAnswersUntil
--- a/internal/upgrade/upgrade.go
+++ b/internal/upgrade/upgrade.go
@@ -28,18 +28,8 @@
 const (
 	// canaryRate is the number of requests per second from the whole fleet to the new
 	// release in the first half: a release that fails a third of them shows 35 failures
-	// in 10 s. canaryExposure bounds the canary as a fraction of the share of the requests
-	// that a bad release may get.
-	canaryRate     = 10.0
-	canaryExposure = 0.65
-	// defaultMaxExposure is the share of the requests that a bad release may get if
-	// operators set none.
-	defaultMaxExposure = 0.1
-	// completeStart is the fraction of the duration from which the upgrade may complete,
-	// and minFullFraction that for which all requests must have run on the new release
-	// before: the old servers then stop at once.
-	completeStart   = 0.8
-	minFullFraction = 0.1
+	// in 10 s.
+	canaryRate = 10.0
 	// maxAnswerDuration is the longest time that an answer may take. The idle time of a
 	// session is counted from the end of its last answer.
 	maxAnswerDuration = 25 * time.Second
@@ -58,30 +48,6 @@
 	stepInterval = 250 * time.Millisecond
 )
 
-// moveStep is a step of the second half of an upgrade: from a fraction of the duration on,
-// a share of the sessions moves to the new release, if the release is cleared to a degree.
-type moveStep struct {
-	start, share float64
-	// badness and routeBadness are the badness below which the release must be on all
-	// routes together and on each main route.
-	badness, routeBadness float64
-}
-
-// moveSteps leave an eighth of the duration for recording the outcome.
-var moveSteps = [...]moveStep{
-	{start: 0.52, share: 0.3, badness: -1.5, routeBadness: 0.5},
-	{start: 0.6, share: 0.6, badness: -2.5, routeBadness: -0.5},
-	{start: 0.68, share: 1, badness: -3.5, routeBadness: -1.5},
-}
-
-const (
-	// minStepFraction is the fraction of the duration between two steps.
-	minStepFraction = 0.06
-	// decisionStart is the fraction of the duration at which a release that is not cleared
-	// is either taken as bad or moved to nonetheless.
-	decisionStart = 0.85
-)
-
 // Upgrade is an operator's request to move a service to a release.
 type Upgrade struct {
 	Service string
@@ -141,9 +107,9 @@
 	Records RecordStore
 	Fleet   *fleet.Set
 	Chart   *statechart.Chart
-	// MaxExposure is the share of the requests that a bad release may get; zero for
-	// defaultMaxExposure.
-	MaxExposure float64
+	// Exposure bounds the requests that a bad release may get; the zero value stands for
+	// defaultExposure.
+	Exposure Exposure
 	// SessionIdleTimeout is the idle time after which a session counts as new.
 	SessionIdleTimeout time.Duration
 	Log                *events.Logger
@@ -201,10 +167,15 @@
 	badSince time.Time
 	// verdict is this instance's judgement of the new release.
 	verdict verdict
-	// steps is the number of moveSteps that may take place, and stepAt the fraction of
-	// the duration at which the last of them was let in after its start.
+	// plan is how sessions move in the second half; steps is the number of its steps that
+	// may take place, and stepAt the fraction of the duration at which the last of them
+	// was allowed after its start.
+	plan   *movePlan
 	steps  int
 	stepAt float64
+	// totals are the numbers of answers of both releases in the last steps of this
+	// instance.
+	totals []timedTotal
 	// fullAt is the fraction of the duration from which all requests run on the new
 	// release; zero before.
 	fullAt float64
@@ -237,8 +208,8 @@
 		baselines: newBaselines(),
 		rates:     make(map[string]*rate),
 	}
-	if c.MaxExposure <= 0 {
-		c.MaxExposure = defaultMaxExposure
+	if c.Exposure == (Exposure{}) {
+		c.Exposure = defaultExposure
 	}
 	o.Bus.Handle(peers.KindUpgradeEvidence, c.handleEvidence)
 	return c
@@ -255,7 +226,7 @@
 	if old != nil && (!old.upgrade.Revision.Before(upgrade.Revision) || c.isKnown(old, upgrade, uncertain)) {
 		return
 	}
-	u := &upgradeState{upgrade: upgrade, machine: statechart.NewMachine(c.Chart), pins: make(map[sessionKey]time.Time)}
+	u := &upgradeState{upgrade: upgrade, plan: &gradualMove, machine: statechart.NewMachine(c.Chart), pins: make(map[sessionKey]time.Time)}
 	if uncertain {
 		// Instances that know the record of this upgrade write it again before.
 		u.extraDelay = 2 * restoredRecordDelay
@@ -376,21 +347,17 @@
 	r.count++
 }
 
-// canaryShare returns the share of sessions on the new release in the first half of
-// an upgrade that begins now, estimated from this instance's request rate.
-func (c *Controller) canaryShare(service string) float64 {
+// requestRate estimates the fleet's rate of requests to a service, per second, from this
+// instance's requests; zero if it has none.
+func (c *Controller) requestRate(service string) float64 {
 	r := c.rates[service]
 	if r == nil {
-		return c.maxCanaryShare()
+		return 0
 	}
 	seconds := max(1, time.Since(r.since).Seconds())
-	fleetRate := r.count / seconds * float64(len(c.Bus.Peers())+1)
-	return min(c.maxCanaryShare(), canaryRate/max(fleetRate, canaryRate))
+	return r.count / seconds * float64(len(c.Bus.Peers())+1)
 }
 
-// maxCanaryShare is the largest share of sessions in the canary.
-func (c *Controller) maxCanaryShare() float64 { return canaryExposure * c.MaxExposure }
-
 // settledRelease returns the release of a service without an upgrade; empty while it is
 // unknown. It is the target of the last completed upgrade, or else the first release
 // found to be the only one with servers. Once known it is kept, because servers of
@@ -421,18 +388,6 @@
 	return old
 }
 
-// shareAt returns the share of sessions on the new release after a fraction of the
-// duration.
-func (u *upgradeState) shareAt(progress float64) float64 {
-	share := u.record.CanaryShare
-	for _, step := range moveSteps[:u.steps] {
-		if progress >= step.start {
-			share = step.share
-		}
-	}
-	return share
-}
-
 // progress returns the elapsed fraction of an upgrade's duration.
 func (c *Controller) progress(u *upgradeState) float64 {
 	now, ok := c.Records.Now()
