--- a/internal/upgrade/move.go
+++ b/internal/upgrade/move.go
@@ -8,8 +8,8 @@
 	// projectedExposure and projectedSlack are the parts of the allowed exposure that may
 	// be used if all requests move at once: the number of requests until the deadline is
 	// an estimate.
-	projectedExposure = 0.9
-	projectedSlack    = 0.5
+	projectedExposure = 0.85
+	projectedSlack    = 0.4
 	// minStepFraction is the fraction of the duration between two steps.
 	minStepFraction = 0.06
 	// rateSteps is the number of steps of an instance over which the current rate of
