--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -240,11 +240,10 @@
 		Model:       p.model,
 		Failed:      failed,
 		Latency:     p.latency,
-		Duration:    time.Since(p.started),
 		InputTokens: x.req.Prompt.InputTokens,
 	}
 	if timedOut && p.latency == 0 {
-		o.Latency, o.GivenUp = o.Duration, true
+		o.Latency, o.GivenUp = time.Since(p.started), true
 	}
 	x.d.Releases.Observe(o)
 }
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -74,8 +74,6 @@
 	// ended without either.
 	Latency time.Duration
 	GivenUp bool
-	// Duration is the time to the end of the attempt.
-	Duration time.Duration
 	// Model is the model that was asked; empty if the caller selected it.
 	Model string
 	// InputTokens is the prompt length in tokens.
--- a/internal/upgrade/baseline.go
+++ b/internal/upgrade/baseline.go
@@ -108,7 +108,7 @@
 // and, if the attempt was given up, if that took longer than the slow quantile: the answer
 // would have come later still.
 func (b *baselines) compare(o dispatch.Observation) answerCounts {
-	counts := answerCounts{Answers: 1, Milliseconds: uint64(max(0, o.Duration.Milliseconds()))}
+	counts := answerCounts{Answers: 1}
 	if o.Failed {
 		counts.Failed = 1
 		return counts
--- a/internal/upgrade/evidence.go
+++ b/internal/upgrade/evidence.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"time"
 
 	"github.com/fxamacker/cbor/v2"
 	"github.com/pkg/errors"
@@ -44,15 +43,12 @@
 	Timed    uint64 `cbor:"3,keyasint"`
 	Slow     uint64 `cbor:"4,keyasint"`
 	VerySlow uint64 `cbor:"5,keyasint"`
-	// Milliseconds is the sum of the times from sending a request to the end of its answer.
-	Milliseconds uint64 `cbor:"6,keyasint"`
 }
 
 func (c answerCounts) plus(o answerCounts) answerCounts {
 	return answerCounts{
 		Answers: c.Answers + o.Answers, Failed: c.Failed + o.Failed,
 		Timed: c.Timed + o.Timed, Slow: c.Slow + o.Slow, VerySlow: c.VerySlow + o.VerySlow,
-		Milliseconds: c.Milliseconds + o.Milliseconds,
 	}
 }
 
@@ -61,7 +57,6 @@
 	return answerCounts{
 		Answers: c.Answers - o.Answers, Failed: c.Failed - o.Failed,
 		Timed: c.Timed - o.Timed, Slow: c.Slow - o.Slow, VerySlow: c.VerySlow - o.VerySlow,
-		Milliseconds: c.Milliseconds - o.Milliseconds,
 	}
 }
 
@@ -73,11 +68,6 @@
 	return c
 }
 
-// meanDuration returns the mean time to the end of an answer; zero without answers.
-func (c answerCounts) meanDuration() time.Duration {
-	return time.Duration(c.Milliseconds/max(1, c.Answers)) * time.Millisecond
-}
-
 // bad returns the answers that failed or were very slow.
 func (c answerCounts) bad() uint64 { return c.Failed + c.VerySlow }
 
@@ -97,8 +87,8 @@
 	Counts []variantCounts `cbor:"4,keyasint"`
 	// Bad reports that the sender has marked the new release as bad.
 	Bad bool `cbor:"5,keyasint"`
-	// Steps is the number of steps in which the sender lets requests move.
-	Steps int `cbor:"8,keyasint,omitempty"`
+	// Moved reports that the sender lets all requests run on the new release.
+	Moved bool `cbor:"8,keyasint,omitempty"`
 	// Pins are sessions that the sender saw on the old release although their hash
 	// assigns them to the new one.
 	Pins []sessionPin `cbor:"6,keyasint,omitempty"`
@@ -188,8 +178,8 @@
 	}
 	e.peers[source{instance: msg.From, epoch: m.Epoch}] = m.Counts
 	c.mergePins(current, m.Pins)
-	if current.verdict.suspicion < suspicionThreshold {
-		current.steps = max(current.steps, min(m.Steps, len(current.plan.steps)))
+	if m.Moved && !current.moved && current.verdict.suspicion < suspicionThreshold {
+		c.move(current, c.progress(current))
 	}
 	if m.Bad && !current.bad {
 		c.markBad(current, "marked as bad by a peer")
--- a/internal/upgrade/step.go
+++ b/internal/upgrade/step.go
@@ -26,7 +26,7 @@
 	// upgrade is completed, until minAnswersUntil.
 	minAnswers = 8
 	// minAnswersUntil is the fraction of the duration after which fewer answers suffice.
-	minAnswersUntil = 0.9
+	minAnswersUntil = 0.97
 )
 
 // ErrConflict is returned when another instance wrote the record first.
@@ -90,7 +90,7 @@
 	}
 	u.evidenceSentAt, u.sentBad = time.Now(), bad
 	message = c.evidence.message(u.upgrade, epoch, u.bad)
-	message.Steps = u.steps
+	message.Moved = u.moved
 	message.Pins = pins
 	return message, true
 }
@@ -190,14 +190,11 @@
 		c.markBad(u, u.verdict.reason)
 	}
 	if !u.bad {
-		c.allowSteps(u, counts, progress)
+		c.allowMove(u, counts, progress)
 	}
-	if !u.bad && u.machine.State() == statechart.UpgradeObserving && progress >= u.plan.steps[0].start {
+	if !u.bad && u.machine.State() == statechart.UpgradeObserving && progress >= moveStart {
 		c.fire(u, statechart.UpgradeHalfPassed)
 	}
-	if u.fullAt == 0 && u.shareAt(progress) == 1 {
-		u.fullAt = progress
-	}
 	c.logShare(u)
 }
 
@@ -206,7 +203,7 @@
 func (c *Controller) logShare(u *upgradeState) {
 	share := 0.0
 	if !u.bad && u.stored && c.isCanaryDue(u) {
-		share = u.shareAt(c.progress(u))
+		share = u.share()
 	}
 	if share == u.loggedShare {
 		return
@@ -277,7 +274,7 @@
 		return r, time.Since(u.badSince) >= peers.WriteDelay(c.Bus, service)
 	case c.mayComplete(u):
 		r.State = statechart.UpgradeCompleted
-		due := time.Duration(u.plan.completeStart * float64(u.upgrade.Duration))
+		due := time.Duration(completeStart * float64(u.upgrade.Duration))
 		return r, since-due >= peers.WriteDelay(c.Bus, service)
 	case !u.stored:
 		return r, since >= peers.WriteDelay(c.Bus, service)+u.extraDelay
@@ -294,7 +291,7 @@
 // release for long enough, and it has minAnswers answers or minAnswersUntil has passed.
 func (c *Controller) mayComplete(u *upgradeState) bool {
 	progress := c.progress(u)
-	if u.machine.State() != statechart.UpgradeMoving || progress < u.plan.completeStart || u.fullAt == 0 || progress < u.fullAt+u.plan.minFull {
+	if u.machine.State() != statechart.UpgradeMoving || progress < completeStart || !u.moved || progress < u.movedAt+minMoved {
 		return false
 	}
 	return c.evidence.byService[u.upgrade.Service].newAnswers().Answers >= minAnswers || progress >= minAnswersUntil
--- a/internal/upgrade/upgrade.go
+++ b/internal/upgrade/upgrade.go
@@ -167,18 +167,13 @@
 	badSince time.Time
 	// verdict is this instance's judgement of the new release.
 	verdict verdict
-	// plan is how sessions move in the second half; steps is the number of its steps that
-	// may take place, and stepAt the fraction of the duration at which the last of them
-	// was allowed after its start.
-	plan   *movePlan
-	steps  int
-	stepAt float64
+	// moved is set once all requests may run on the new release, movedAt is the fraction
+	// of the duration at which that was.
+	moved   bool
+	movedAt float64
 	// totals are the numbers of answers of both releases in the last steps of this
 	// instance.
 	totals []timedTotal
-	// fullAt is the fraction of the duration from which all requests run on the new
-	// release; zero before.
-	fullAt float64
 	// loggedShare is the share of requests on the new release that was last logged.
 	loggedShare float64
 	// savedAt is the time of the last attempt to write the record.
@@ -226,7 +221,7 @@
 	if old != nil && (!old.upgrade.Revision.Before(upgrade.Revision) || c.isKnown(old, upgrade, uncertain)) {
 		return
 	}
-	u := &upgradeState{upgrade: upgrade, plan: &gradualMove, machine: statechart.NewMachine(c.Chart), pins: make(map[sessionKey]time.Time)}
+	u := &upgradeState{upgrade: upgrade, machine: statechart.NewMachine(c.Chart), pins: make(map[sessionKey]time.Time)}
 	if uncertain {
 		// Instances that know the record of this upgrade write it again before.
 		u.extraDelay = 2 * restoredRecordDelay
@@ -382,7 +377,7 @@
 		return u.upgrade.To
 	case isRecent && u.machine.State() == statechart.UpgradeObserving:
 		return old
-	case drawFraction(u.upgrade, session, key) < u.shareAt(c.progress(u)):
+	case drawFraction(u.upgrade, session, key) < u.share():
 		return u.upgrade.To
 	}
 	return old
