--- /dev/null
+++ b/internal/upgrade/exposure_test.go
@@ -0,0 +1,236 @@
+package upgrade
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+
+	"github.com/basilrail/basilrail/internal/dispatch"
+	"github.com/basilrail/basilrail/internal/statechart"
+	"github.com/basilrail/basilrail/internal/storefeed"
+)
+
+const (
+	// badAnswersToStop is the number of bad answers of a release, and stopWithin the time
+	// after them, from which on it must get no request.
+	badAnswersToStop = 50
+	stopWithin       = 5 * time.Second
+)
+
+// simRoute is a kind of requests in a simulated service.
+type simRoute struct {
+	name string
+	// share is its share of the requests.
+	share float64
+	// latency is the median time to the first event, duration that to the end after it.
+	latency, duration time.Duration
+	// spread is the standard deviation of the logarithm of the latency.
+	spread float64
+	// failures is the share of requests that fail at any release.
+	failures float64
+}
+
+// simService is a simulated service and its traffic.
+type simService struct {
+	instances         int
+	requestsPerSecond float64
+	hasSessions       bool
+	routes            []simRoute
+	duration          time.Duration
+}
+
+// plainService has no sessions, and so few requests that a canary has some forty answers.
+var plainService = simService{
+	instances: 7, requestsPerSecond: 30, duration: 16 * time.Second,
+	routes: []simRoute{
+		{name: "book", share: 0.7, latency: 14 * time.Millisecond, spread: 0.4, failures: 0.02},
+		{name: "look", share: 0.28, latency: 14 * time.Millisecond, spread: 0.5, failures: 0.02},
+		{name: "broken", share: 0.02, latency: 400 * time.Millisecond, failures: 1},
+	},
+}
+
+// modelService has streams of seconds whose time to the first event varies a lot.
+var modelService = simService{
+	instances: 9, requestsPerSecond: 90, hasSessions: true, duration: 16 * time.Second,
+	routes: []simRoute{
+		{name: "plan", share: 0.2, latency: 130 * time.Millisecond, duration: 4 * time.Second, spread: 0.9},
+		{name: "summary", share: 0.5, latency: 25 * time.Millisecond, duration: 1500 * time.Millisecond, spread: 0.9},
+		{name: "flag", share: 0.3, latency: 40 * time.Millisecond, duration: 100 * time.Millisecond, spread: 0.9},
+	},
+}
+
+// defect is how the new release answers worse than the old one.
+type defect struct {
+	name string
+	// isBad reports whether an answer is bad, given the time since the operator's request
+	// and the share of the requests that run on the new release.
+	isBad func(rng *rand.Rand, route string, since time.Duration, share float64) bool
+	// slowdown is the factor of the latency of a bad answer; zero for a failure.
+	slowdown float64
+	// overall is a factor of the latency of all answers of the new release.
+	overall float64
+}
+
+func chance(p float64) func(*rand.Rand, string, time.Duration, float64) bool {
+	return func(rng *rand.Rand, _ string, _ time.Duration, _ float64) bool { return rng.Float64() < p }
+}
+
+var defects = []defect{
+	{name: "half fail", isBad: chance(0.5)},
+	{name: "a third fail", isBad: chance(0.31)},
+	{name: "half slow", isBad: chance(0.5), slowdown: 8},
+	{name: "all slower", isBad: chance(0.5), slowdown: 5, overall: 2.5},
+	{name: "one route fails", isBad: func(rng *rand.Rand, route string, _ time.Duration, _ float64) bool {
+		return (route == "look" || route == "flag") && rng.Float64() < 0.5
+	}},
+	{name: "late", isBad: func(rng *rand.Rand, _ string, since time.Duration, _ float64) bool {
+		return since > 5*time.Second && rng.Float64() < 0.5
+	}},
+	{name: "under load", isBad: func(rng *rand.Rand, _ string, _ time.Duration, share float64) bool {
+		return share > 0.25 && rng.Float64() < 0.02
+	}},
+}
+
+// simulation plays the traffic of a service through an upgrade.
+type simulation struct {
+	simService
+	fleet  *testFleet
+	defect *defect
+	rng    *rand.Rand
+
+	mu       sync.Mutex
+	began    time.Time
+	newShare float64
+	// all and newer count the requests between the operator's request and its deadline.
+	all, newer int
+	badAnswers []time.Duration
+	// sent are the times of the requests to the new release.
+	sent []time.Duration
+}
+
+func (s *simulation) route() simRoute {
+	draw := s.rng.Float64()
+	for _, r := range s.routes {
+		if draw -= r.share; draw < 0 {
+			return r
+		}
+	}
+	return s.routes[0]
+}
+
+// request sends one request and observes its answer when it is complete.
+func (s *simulation) request(n int) {
+	c, route := s.fleet.controllers[s.rng.IntN(len(s.fleet.controllers))], s.route()
+	session := ""
+	if s.hasSessions {
+		session = fmt.Sprint("s", n/3)
+	}
+	release := c.Choose(service, session)
+	since := time.Since(s.began)
+	latency := float64(route.latency) * math.Exp(route.spread*s.rng.NormFloat64())
+	failed := s.rng.Float64() < route.failures
+	isNew, isBad := release == newRelease, false
+	if !s.began.IsZero() && since < s.duration {
+		s.all++
+		s.newShare *= 0.98
+	}
+	if isNew {
+		s.newShare += 0.02
+		s.sent = append(s.sent, since)
+		if since < s.duration {
+			s.newer++
+		}
+	}
+	if isNew && s.defect != nil {
+		latency *= max(1, s.defect.overall)
+		if isBad = s.defect.isBad(s.rng, route.name, since, s.newShare); isBad {
+			latency *= max(1, s.defect.slowdown)
+			failed = failed || s.defect.slowdown == 0
+		}
+	}
+	go func() {
+		time.Sleep(time.Duration(latency) + route.duration)
+		if isBad {
+			s.mu.Lock()
+			s.badAnswers = append(s.badAnswers, time.Since(s.began))
+			s.mu.Unlock()
+		}
+		c.Observe(dispatch.Observation{Service: service, Release: release, Route: route.name, Failed: failed, Latency: time.Duration(latency)})
+	}()
+}
+
+// play sends the traffic for a time.
+func (s *simulation) play(d time.Duration, first int) (next int) {
+	end, n := time.Now().Add(d), first
+	for ; time.Now().Before(end); n++ {
+		s.request(n)
+		time.Sleep(time.Duration(s.rng.ExpFloat64() / s.requestsPerSecond * float64(time.Second)))
+	}
+	return n
+}
+
+func simulate(t *testing.T, what simService, worse *defect, seed uint64) *simulation {
+	s := &simulation{simService: what, fleet: startFleet(t, what.instances), defect: worse, rng: rand.New(rand.NewPCG(seed, 1))}
+	next := s.play(4*time.Second, 0)
+	s.began = time.Now()
+	for i, c := range s.fleet.controllers {
+		s.fleet.sets[i].Put(registrations(newRelease)...)
+		c.Start(Upgrade{Service: service, To: newRelease, Duration: s.duration, Revision: storefeed.Position{Revision: 7}}, false)
+	}
+	s.play(s.duration+8*time.Second, next)
+	s.fleet.stop()
+	// The answers that are still under way.
+	time.Sleep(time.Minute)
+	return s
+}
+
+// TestBadReleaseKeepsTheExposureBound guards against a bad release that is moved to, or
+// that gets requests for too long, because the evidence about it is weak, late or absent.
+func TestBadReleaseKeepsTheExposureBound(t *testing.T) {
+	for name, what := range map[string]simService{"plain service": plainService, "model service": modelService} {
+		for _, worse := range defects {
+			for seed := range uint64(4) {
+				t.Run(fmt.Sprintf("%s, %s, seed %d", name, worse.name, seed), func(t *testing.T) {
+					synctest.Test(t, func(t *testing.T) {
+						s := simulate(t, what, &worse, seed)
+						assert.LessOrEqual(t, float64(s.newer), testExposure.Share*float64(s.all)+testExposure.Slack, "requests to the bad release of %d", s.all)
+						if worse.name == "under load" {
+							// It shows only once all requests have moved.
+							return
+						}
+						assert.Equal(t, statechart.UpgradeReverted, s.fleet.records.current().State)
+						if slices.Sort(s.badAnswers); len(s.badAnswers) >= badAnswersToStop {
+							assert.Less(t, slices.Max(s.sent), s.badAnswers[badAnswersToStop-1]+stopWithin, "the last request to the bad release")
+						}
+					})
+				})
+			}
+		}
+	}
+}
+
+// TestGoodReleaseCompletesByItsDeadline checks that the evidence clears a good release of
+// services whose answers fail now and then and vary in latency.
+func TestGoodReleaseCompletesByItsDeadline(t *testing.T) {
+	for name, what := range map[string]simService{"plain service": plainService, "model service": modelService} {
+		stopped := 0
+		const seeds = 20
+		for seed := range uint64(seeds) {
+			synctest.Test(t, func(t *testing.T) {
+				s := simulate(t, what, nil, seed)
+				if s.fleet.records.current().State != statechart.UpgradeCompleted {
+					stopped++
+				}
+				assert.LessOrEqual(t, float64(s.newer), testExposure.Share*float64(s.all)+testExposure.Slack)
+			})
+		}
+		assert.LessOrEqual(t, stopped, 1, "%s: good releases that were not completed, of %d", name, seeds)
+	}
+}
--- a/internal/upgrade/move.go
+++ b/internal/upgrade/move.go
@@ -14,12 +14,8 @@
 	// moveStart is the fraction of the duration from which sessions may move: those that
 	// run keep their release before.
 	moveStart = 0.52
-	// clearedBadness and clearedRouteBadness are the badness up to which the new release is
-	// cleared, on all routes together and on each main route.
-	clearedBadness      = -2.5
-	clearedRouteBadness = -0.5
-	// decisionStart is the fraction of the duration at which a release that is not cleared
-	// is either taken as bad or moved to nonetheless.
+	// decisionStart is the fraction of the duration at which a release on which the
+	// evidence is not good is taken as bad, and all others are moved to.
 	decisionStart = 0.95
 	// completeStart is the fraction of the duration from which an upgrade may complete,
 	// and minMoved that for which all requests must have run on the new release by then.
@@ -63,23 +59,20 @@
 	return u.record.CanaryShare
 }
 
-// allowMove lets all requests move to the new release once it is cleared and the exposure
-// that is left suffices until the deadline, whatever the evidence says: a release may be
-// bad only under more load than a canary has. The caller holds the lock.
+// allowMove lets all requests move to the new release once the exposure that is left
+// suffices for it until the deadline, whatever the evidence says: a release may be bad only
+// under more load than a canary has. The caller holds the lock.
 func (c *Controller) allowMove(u *upgradeState, counts routeCounts, progress float64) {
 	u.noteTotal(counts, progress)
 	if u.moved || progress < moveStart {
 		return
 	}
-	all, route := counts.badness()
-	isSuspect := u.verdict.suspicion >= suspicionThreshold
+	isDue := progress >= decisionStart
+	leansBad := u.verdict.suspicion >= suspicionThreshold || counts.badness() >= leaning
 	switch {
-	case progress >= decisionStart && (isSuspect || all > leaning || route > leaning):
-		c.markBad(u, "not cleared in time")
-	case progress >= decisionStart:
-		c.move(u, progress)
-	case isSuspect, counts.old("").Answers < minOldAnswers, all > clearedBadness, route > clearedRouteBadness:
-	case c.mayMove(u, counts, progress):
+	case isDue && leansBad:
+		c.markBad(u, "evidence not good by the deadline")
+	case isDue, !leansBad && c.mayMove(u, counts, progress):
 		c.move(u, progress)
 	}
 }
@@ -100,7 +93,7 @@
 // deadline, at the current rate of requests.
 func (c *Controller) mayMove(u *upgradeState, counts routeCounts, progress float64) bool {
 	first, last := u.totals[0], u.totals[len(u.totals)-1]
-	if last.progress <= first.progress {
+	if counts.old("").Answers < minOldAnswers || last.progress <= first.progress {
 		return false
 	}
 	left := float64(last.answers-first.answers) / (last.progress - first.progress) * max(0, 1-progress)
--- a/internal/upgrade/verdict.go
+++ b/internal/upgrade/verdict.go
@@ -6,26 +6,25 @@
 	// stopThreshold is the log likelihood ratio at which the new release is bad. Within
 	// the limits a false stop comes once in exp(7), about 1,100, answers at most.
 	stopThreshold = 7.0
-	// suspicionThreshold is the log likelihood ratio from which no further requests move
-	// to the new release: about two failures in a row.
+	// suspicionThreshold is the log likelihood ratio from which requests don't move to the
+	// new release: about two failures in a row.
 	suspicionThreshold = 3.0
 	// priorWeight is the number of answers for which a criterion's usual rate counts in
 	// the rate of the old release.
 	priorWeight = 5.0
-	// minRateDifference is the difference between the rates of a bad release and of the
-	// old one against which a release is cleared.
+	// minRateDifference is the least difference between the rates of a bad release and of
+	// the old one.
 	minRateDifference = 0.25
 	// maxRate keeps the likelihood ratios finite.
 	maxRate = 0.95
-	// mainRouteShare is the share of the old release's answers from which a route must be
-	// cleared by itself.
+	// mainRouteShare is the share of the old release's answers from which a route counts by
+	// itself for the badness.
 	mainRouteShare = 0.15
-	// minOldAnswers is the number of the old release's answers before which nothing is
-	// cleared.
+	// minOldAnswers is the number of the old release's answers from which the rate of
+	// requests is known.
 	minOldAnswers = 20
-	// leaning is the log likelihood ratio from which a release that is not cleared in
-	// time is bad.
-	leaning = 0.5
+	// leaning is the badness from which the evidence is not good.
+	leaning = 3.0
 )
 
 // alternatives are the rates tested against a limit, as fractions of the way from the
@@ -83,7 +82,7 @@
 }
 
 // badness returns the log likelihood ratio of the new release's answers between a bad
-// release and one like the old one: far below zero means that it is cleared.
+// release and one like the old one.
 func (k *criterion) badness(newer, old answerCounts) float64 {
 	rate := k.rate(old)
 	bad := min(max(k.typical, rate+minRateDifference), (1+maxRate)/2)
@@ -164,21 +163,17 @@
 	}
 }
 
-// badness returns the highest badness over the criteria on all routes together, and on the
-// worst of the main routes.
-func (r routeCounts) badness() (all, worstRoute float64) {
-	worst := func(route string) float64 {
-		highest := math.Inf(-1)
-		for i := range criteria {
-			highest = max(highest, criteria[i].badness(r[evidenceKey{Route: route, Variant: variantNew}], r.old(route)))
+// badness returns the highest badness of all criteria on all routes together and on each
+// main route.
+func (r routeCounts) badness() float64 {
+	highest := math.Inf(-1)
+	for key, old := range r {
+		if key.Variant != variantOld || float64(old.Answers) < mainRouteShare*float64(r.old("").Answers) {
+			continue
 		}
-		return highest
-	}
-	all, worstRoute = worst(""), math.Inf(-1)
-	for key, counts := range r {
-		if key.Variant == variantOld && key.Route != "" && float64(counts.Answers) >= mainRouteShare*float64(r.old("").Answers) {
-			worstRoute = max(worstRoute, worst(key.Route))
+		for i := range criteria {
+			highest = max(highest, criteria[i].badness(r[evidenceKey{Route: key.Route, Variant: variantNew}], old))
 		}
 	}
-	return all, worstRoute
+	return highest
 }
