--- a/internal/upgrade/exposure_test.go
+++ b/internal/upgrade/exposure_test.go
@@ -86,6 +86,7 @@
 	{name: "half fail", isBad: chance(0.5)},
 	{name: "a third fail", isBad: chance(0.31)},
 	{name: "half slow", isBad: chance(0.5), slowdown: 8},
+	{name: "a third slow", isBad: chance(0.31), slowdown: 8},
 	{name: "all slower", isBad: chance(0.5), slowdown: 5, overall: 2.5},
 	{name: "one route fails", isBad: func(rng *rand.Rand, route string, _ time.Duration, _ float64) bool {
 		return (route == "look" || route == "flag") && rng.Float64() < 0.5
--- a/internal/upgrade/move.go
+++ b/internal/upgrade/move.go
@@ -2,7 +2,10 @@
 
 const (
 	// canaryExposure is the part of the allowed exposure that the canary may use.
-	canaryExposure = 0.45
+	canaryExposure = 0.55
+	// maxAllowedShare bounds the allowed exposure as a share of the requests, for services
+	// with fewer requests than the slack.
+	maxAllowedShare = 0.3
 	// projectedExposure and projectedSlack are the parts of the allowed exposure that may
 	// be used if all requests move at once: the number of requests until the deadline is
 	// an estimate.
@@ -38,17 +41,17 @@
 	answers  uint64
 }
 
-// maxCanaryShare is the largest share of sessions in a canary.
-func (c *Controller) maxCanaryShare() float64 { return canaryExposure * c.Exposure.Share }
+// maxCanaryShare returns the largest share of sessions in the canary of an upgrade.
+func (c *Controller) maxCanaryShare(upgrade Upgrade) float64 {
+	requests := c.requestRate(upgrade.Service) * upgrade.Duration.Seconds()
+	return canaryExposure * min(c.Exposure.Share+projectedSlack*c.Exposure.Slack/max(1, requests), maxAllowedShare)
+}
 
-// canaryShare returns the share of sessions on the new release in the first half of an
-// upgrade that begins now.
-func (c *Controller) canaryShare(service string) float64 {
-	rate := c.requestRate(service)
-	if rate == 0 {
-		return c.maxCanaryShare()
-	}
-	return min(c.maxCanaryShare(), canaryRate/max(rate, canaryRate))
+// canaryShare returns the share of sessions on the new release in the canary of an upgrade
+// that begins now.
+func (c *Controller) canaryShare(upgrade Upgrade) float64 {
+	rate := c.requestRate(upgrade.Service)
+	return min(c.maxCanaryShare(upgrade), canaryRate/max(rate, canaryRate))
 }
 
 // share returns the share of sessions on the new release.
--- a/internal/upgrade/sessions.go
+++ b/internal/upgrade/sessions.go
@@ -70,7 +70,7 @@
 func (c *Controller) pinRunningSessions(u *upgradeState) {
 	for _, key := range c.recent.Keys() {
 		seen, ok := c.recent.Peek(key)
-		if ok && time.Since(seen.at) < c.sessionTTL() && hashFraction(u.upgrade, key) < c.maxCanaryShare() {
+		if ok && time.Since(seen.at) < c.sessionTTL() && hashFraction(u.upgrade, key) < c.maxCanaryShare(u.upgrade) {
 			u.pins[key], u.hasUnsentPins = seen.at, true
 		}
 	}
@@ -93,9 +93,9 @@
 // pinnedShare is the share of sessions that may belong to the canary.
 func (c *Controller) pinnedShare(u *upgradeState) float64 {
 	if !u.recordKnown {
-		return c.maxCanaryShare()
+		return c.maxCanaryShare(u.upgrade)
 	}
-	return min(c.maxCanaryShare(), pinShareMargin*u.record.CanaryShare)
+	return min(c.maxCanaryShare(u.upgrade), pinShareMargin*u.record.CanaryShare)
 }
 
 // sessionPin is a session that the sender saw on the old release.
--- a/internal/upgrade/step.go
+++ b/internal/upgrade/step.go
@@ -124,7 +124,7 @@
 		u.recordKnown = true
 		u.record = Record{
 			Service: service, To: u.upgrade.To, UpgradeRevision: u.upgrade.Revision, Started: now,
-			State: statechart.UpgradeObserving, CanaryShare: c.canaryShare(service), Revision: r.Revision,
+			State: statechart.UpgradeObserving, CanaryShare: c.canaryShare(u.upgrade), Revision: r.Revision,
 		}
 	}
 }
--- a/internal/upgrade/verdict.go
+++ b/internal/upgrade/verdict.go
@@ -24,7 +24,7 @@
 	// requests is known.
 	minOldAnswers = 20
 	// leaning is the badness from which the evidence is not good.
-	leaning = 3.0
+	leaning = 2.0
 )
 
 // alternatives are the rates tested against a limit, as fractions of the way from the
