upgrade: Outliers as a criterion, and no move on partial knowledge

It now needs 3 s of counts and never assumes less than its own requests and the canary's share.

Answers above 3.5 times the median are a criterion again: a service with steady latencies has hardly any, so a third of slow answers shows at once. Requests without a session are drawn from a seeded source, so that the simulated upgrades are reproducible.

--- a/internal/upgrade/baseline.go
+++ b/internal/upgrade/baseline.go
@@ -19,6 +19,9 @@
 	// distribution; one that is slow for some requests only lengthens its tail.
 	slowQuantile     = 0.75
 	verySlowQuantile = 0.9
+	// outlierFactor is the multiple of the median above which an answer is an outlier: a
+	// bad release answers several times slower.
+	outlierFactor = 3.5
 	// maxBaselines bounds the kinds of answers for which a baseline is kept.
 	maxBaselines = 512
 	// baseMilliseconds and tokensPerMillisecond relate a prompt's length to the time
@@ -33,14 +36,19 @@
 	service, route, model string
 }
 
+// latencyLimits are the ratios above which an answer is slow, very slow or an outlier.
+type latencyLimits struct {
+	slow, verySlow, outlier float64
+}
+
 // latencyBaseline holds the latest latencies of one kind of answers, as ratios to the time
 // expected from the prompt's length.
 type latencyBaseline struct {
 	samples []float64
 	next    int
-	// slow and verySlow are the quantiles; they are valid unless changed is set.
-	slow, verySlow float64
-	changed        bool
+	// limits are valid unless changed is set.
+	limits  latencyLimits
+	changed bool
 }
 
 // add adds a sample and drops the oldest one of baselineSamples.
@@ -54,18 +62,18 @@
 	b.next = (b.next + 1) % baselineSamples
 }
 
-// quantiles returns the ratios above which an answer is slow and very slow; ok is false
-// while there are too few samples.
-func (b *latencyBaseline) quantiles() (slow, verySlow float64, ok bool) {
+// current returns the limits; ok is false while there are too few samples.
+func (b *latencyBaseline) current() (limits latencyLimits, ok bool) {
 	if len(b.samples) < minBaselineSamples {
-		return 0, 0, false
+		return latencyLimits{}, false
 	}
 	if b.changed {
 		sorted := slices.Sorted(slices.Values(b.samples))
 		at := func(quantile float64) float64 { return sorted[int(quantile*float64(len(sorted)-1))] }
-		b.slow, b.verySlow, b.changed = at(slowQuantile), at(verySlowQuantile), false
+		b.limits = latencyLimits{slow: at(slowQuantile), verySlow: at(verySlowQuantile), outlier: outlierFactor * at(0.5)}
+		b.changed = false
 	}
-	return b.slow, b.verySlow, true
+	return b.limits, true
 }
 
 // baselines holds the baselines of all kinds of answers. They are learned at all times, so
@@ -117,17 +125,18 @@
 	if !ok {
 		return counts.unless(o.GivenUp)
 	}
-	slow, verySlow, ok := baseline.quantiles()
+	limits, ok := baseline.current()
 	ratio := latencyRatio(o)
-	if !ok || o.GivenUp && ratio <= slow {
+	if !ok || o.GivenUp && ratio <= limits.slow {
 		return counts.unless(o.GivenUp)
 	}
-	counts.Timed = 1
-	if ratio > slow {
-		counts.Slow = 1
-	}
-	if ratio > verySlow {
-		counts.VerySlow = 1
+	count := func(exceeded bool) uint64 {
+		if exceeded {
+			return 1
+		}
+		return 0
 	}
+	counts.Timed = 1
+	counts.Slow, counts.VerySlow, counts.Outliers = count(ratio > limits.slow), count(ratio > limits.verySlow), count(ratio > limits.outlier)
 	return counts
 }
--- a/internal/upgrade/evidence.go
+++ b/internal/upgrade/evidence.go
@@ -39,16 +39,18 @@
 	// Failed are the failures among them.
 	Failed uint64 `cbor:"2,keyasint"`
 	// Timed are the others whose latency could be compared with a baseline, Slow and
-	// VerySlow those above its quantiles; very slow answers are slow, too.
+	// VerySlow those above its quantiles, and Outliers those above a multiple of its
+	// median.
 	Timed    uint64 `cbor:"3,keyasint"`
 	Slow     uint64 `cbor:"4,keyasint"`
 	VerySlow uint64 `cbor:"5,keyasint"`
+	Outliers uint64 `cbor:"6,keyasint"`
 }
 
 func (c answerCounts) plus(o answerCounts) answerCounts {
 	return answerCounts{
 		Answers: c.Answers + o.Answers, Failed: c.Failed + o.Failed,
-		Timed: c.Timed + o.Timed, Slow: c.Slow + o.Slow, VerySlow: c.VerySlow + o.VerySlow,
+		Timed: c.Timed + o.Timed, Slow: c.Slow + o.Slow, VerySlow: c.VerySlow + o.VerySlow, Outliers: c.Outliers + o.Outliers,
 	}
 }
 
@@ -56,7 +58,7 @@
 func (c answerCounts) minus(o answerCounts) answerCounts {
 	return answerCounts{
 		Answers: c.Answers - o.Answers, Failed: c.Failed - o.Failed,
-		Timed: c.Timed - o.Timed, Slow: c.Slow - o.Slow, VerySlow: c.VerySlow - o.VerySlow,
+		Timed: c.Timed - o.Timed, Slow: c.Slow - o.Slow, VerySlow: c.VerySlow - o.VerySlow, Outliers: c.Outliers - o.Outliers,
 	}
 }
 
--- a/internal/upgrade/move.go
+++ b/internal/upgrade/move.go
@@ -2,7 +2,7 @@
 
 const (
 	// canaryExposure is the part of the allowed exposure that the canary may use.
-	canaryExposure = 0.55
+	canaryExposure = 0.6
 	// maxAllowedShare bounds the allowed exposure as a share of the requests, for services
 	// with fewer requests than the slack.
 	maxAllowedShare = 0.3
@@ -10,7 +10,7 @@
 	// be used if all requests move at once: the number of requests until the deadline is
 	// an estimate.
 	projectedExposure = 0.9
-	projectedSlack    = 0.5
+	projectedSlack    = 0.35
 	// rateSteps is the number of steps of an instance over which the current rate of
 	// requests is measured.
 	rateSteps = 12
@@ -23,7 +23,7 @@
 	// completeStart is the fraction of the duration from which an upgrade may complete,
 	// and minMoved that for which all requests must have run on the new release by then.
 	completeStart = 0.93
-	minMoved      = 0.02
+	minMoved      = 0.01
 )
 
 // Exposure bounds the requests to a bad release, from the operator's request for an
@@ -43,8 +43,11 @@
 
 // maxCanaryShare returns the largest share of sessions in the canary of an upgrade.
 func (c *Controller) maxCanaryShare(upgrade Upgrade) float64 {
-	requests := c.requestRate(upgrade.Service) * upgrade.Duration.Seconds()
-	return canaryExposure * min(c.Exposure.Share+projectedSlack*c.Exposure.Slack/max(1, requests), maxAllowedShare)
+	allowed := c.Exposure.Share
+	if requests := c.requestRate(upgrade.Service) * upgrade.Duration.Seconds(); requests > 0 {
+		allowed += projectedSlack * c.Exposure.Slack / requests
+	}
+	return canaryExposure * min(allowed, maxAllowedShare)
 }
 
 // canaryShare returns the share of sessions on the new release in the canary of an upgrade
@@ -93,13 +96,17 @@
 }
 
 // mayMove reports whether a move of all requests now keeps the allowed exposure until the
-// deadline, at the current rate of requests.
+// deadline, at the current rate of requests. An instance that restarted knows only the
+// answers of the others, so its own rate of requests and the canary's share bound the
+// estimates from below.
 func (c *Controller) mayMove(u *upgradeState, counts routeCounts, progress float64) bool {
 	first, last := u.totals[0], u.totals[len(u.totals)-1]
-	if counts.old("").Answers < minOldAnswers || last.progress <= first.progress {
+	if counts.old("").Answers < minOldAnswers || len(u.totals) < rateSteps || last.progress <= first.progress {
 		return false
 	}
-	left := float64(last.answers-first.answers) / (last.progress - first.progress) * max(0, 1-progress)
+	perDuration := max(float64(last.answers-first.answers)/(last.progress-first.progress), c.requestRate(u.upgrade.Service)*u.upgrade.Duration.Seconds())
+	left := perDuration * max(0, 1-progress)
+	exposed := max(float64(counts[evidenceKey{Variant: variantNew}].Answers), u.record.CanaryShare*perDuration*progress)
 	allowed := projectedExposure*c.Exposure.Share*(float64(last.answers)+left) + projectedSlack*c.Exposure.Slack
-	return float64(counts[evidenceKey{Variant: variantNew}].Answers)+left <= allowed
+	return exposed+left <= allowed
 }
--- a/internal/upgrade/sessions.go
+++ b/internal/upgrade/sessions.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/binary"
-	"math/rand/v2"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -21,6 +20,9 @@
 	// canary share. The instance that records the upgrade estimates the canary share
 	// from its own requests only.
 	pinShareMargin = 2
+	// maxPinnedShare is the largest share of sessions that may be pinned, before the canary
+	// share is known.
+	maxPinnedShare = canaryExposure * maxAllowedShare
 	// minPinInterval is the minimum time, multiplied by the number of instances, between
 	// two messages sent for new pins: each instance receives the messages of all.
 	minPinInterval = 10 * time.Millisecond
@@ -44,10 +46,10 @@
 }
 
 // drawFraction returns the position of a request in [0, 1), by which it is assigned to a
-// release: that of its session, or a random one if it has none.
-func drawFraction(upgrade Upgrade, session string, key sessionKey) float64 {
+// release: that of its session, or a random one if it has none. The caller holds the lock.
+func (c *Controller) drawFraction(upgrade Upgrade, session string, key sessionKey) float64 {
 	if session == "" {
-		return rand.Float64()
+		return c.rng.Float64()
 	}
 	return hashFraction(upgrade, key)
 }
@@ -70,7 +72,7 @@
 func (c *Controller) pinRunningSessions(u *upgradeState) {
 	for _, key := range c.recent.Keys() {
 		seen, ok := c.recent.Peek(key)
-		if ok && time.Since(seen.at) < c.sessionTTL() && hashFraction(u.upgrade, key) < c.maxCanaryShare(u.upgrade) {
+		if ok && time.Since(seen.at) < c.sessionTTL() && hashFraction(u.upgrade, key) < maxPinnedShare {
 			u.pins[key], u.hasUnsentPins = seen.at, true
 		}
 	}
@@ -80,7 +82,7 @@
 // it to the new one. The caller holds the lock.
 func (c *Controller) pinSession(u *upgradeState, key sessionKey, release string) {
 	if u == nil || release == u.upgrade.To || u.machine.State() != statechart.UpgradeObserving ||
-		hashFraction(u.upgrade, key) >= c.pinnedShare(u) {
+		hashFraction(u.upgrade, key) >= u.pinnedShare() {
 		return
 	}
 	// An existing pin is refreshed with the next evidence.
@@ -91,11 +93,11 @@
 }
 
 // pinnedShare is the share of sessions that may belong to the canary.
-func (c *Controller) pinnedShare(u *upgradeState) float64 {
+func (u *upgradeState) pinnedShare() float64 {
 	if !u.recordKnown {
-		return c.maxCanaryShare(u.upgrade)
+		return maxPinnedShare
 	}
-	return min(c.maxCanaryShare(u.upgrade), pinShareMargin*u.record.CanaryShare)
+	return min(maxPinnedShare, pinShareMargin*u.record.CanaryShare)
 }
 
 // sessionPin is a session that the sender saw on the old release.
@@ -113,7 +115,7 @@
 	var list []sessionPin
 	for key, at := range u.pins {
 		age := time.Since(at)
-		if age >= c.sessionTTL() || hashFraction(u.upgrade, key) >= c.pinnedShare(u) {
+		if age >= c.sessionTTL() || hashFraction(u.upgrade, key) >= u.pinnedShare() {
 			delete(u.pins, key)
 			continue
 		}
--- a/internal/upgrade/upgrade.go
+++ b/internal/upgrade/upgrade.go
@@ -11,6 +11,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -112,14 +113,17 @@
 	Exposure Exposure
 	// SessionIdleTimeout is the idle time after which a session counts as new.
 	SessionIdleTimeout time.Duration
-	Log                *events.Logger
+	// Seed seeds the random decisions, so that tests are reproducible.
+	Seed uint64
+	Log  *events.Logger
 }
 
 // Controller chooses the release for each request and carries out upgrades. It is
 // safe for concurrent use.
 type Controller struct {
 	Options
-	mu sync.Mutex
+	mu  sync.Mutex
+	rng *rand.Rand
 	// upgrades holds the latest upgrade of each service.
 	upgrades map[string]*upgradeState
 	// settled holds the release of each service without an upgrade, see settledRelease.
@@ -195,6 +199,7 @@
 	recent, _ := lru.New[sessionKey, sessionRelease](maxRecentSessions)
 	c := &Controller{
 		Options:   o,
+		rng:       rand.New(rand.NewPCG(o.Seed, o.Seed)),
 		upgrades:  make(map[string]*upgradeState),
 		settled:   make(map[string]string),
 		withdrawn: make(map[string][]string),
@@ -377,7 +382,7 @@
 		return u.upgrade.To
 	case isRecent && u.machine.State() == statechart.UpgradeObserving:
 		return old
-	case drawFraction(u.upgrade, session, key) < u.share():
+	case c.drawFraction(u.upgrade, session, key) < u.share():
 		return u.upgrade.To
 	}
 	return old
--- a/internal/upgrade/verdict.go
+++ b/internal/upgrade/verdict.go
@@ -24,7 +24,7 @@
 	// requests is known.
 	minOldAnswers = 20
 	// leaning is the badness from which the evidence is not good.
-	leaning = 2.0
+	leaning = 3.5
 )
 
 // alternatives are the rates tested against a limit, as fractions of the way from the
@@ -54,6 +54,10 @@
 		name: "slow answers", of: func(c answerCounts) (bad, all uint64) { return c.Slow, c.Timed },
 		usual: 1 - slowQuantile, typical: 0.6, canaryMargin: 0.12, moveMargin: 0.3,
 	},
+	{
+		name: "outliers", of: func(c answerCounts) (bad, all uint64) { return c.Outliers, c.Timed },
+		usual: 0.03, typical: 0.3, canaryMargin: 0.07, moveMargin: 0.2,
+	},
 	{
 		name: "very slow answers", of: func(c answerCounts) (bad, all uint64) { return c.VerySlow, c.Timed },
 		usual: 1 - verySlowQuantile, typical: 0.35, canaryMargin: 0.1, moveMargin: 0.25,
