upgrade: Whoever has evidence against a release outvotes a move

An instance whose evidence is against the release does not follow, and marks it as bad from 0.9 of the duration on, before any instance may complete the upgrade.

--- a/internal/upgrade/evidence.go
+++ b/internal/upgrade/evidence.go
@@ -180,7 +180,7 @@
 	}
 	e.peers[source{instance: msg.From, epoch: m.Epoch}] = m.Counts
 	c.mergePins(current, m.Pins)
-	if m.Moved && !current.moved && current.verdict.suspicion < suspicionThreshold {
+	if m.Moved && !current.moved && !current.leansBad(e.totals()) {
 		c.move(current, c.progress(current))
 	}
 	if m.Bad && !current.bad {
--- a/internal/upgrade/move.go
+++ b/internal/upgrade/move.go
@@ -17,9 +17,13 @@
 	// moveStart is the fraction of the duration from which sessions may move: those that
 	// run keep their release before.
 	moveStart = 0.52
-	// decisionStart is the fraction of the duration at which a release on which the
-	// evidence is not good is taken as bad, and all others are moved to.
-	decisionStart = 0.95
+	// verdictStart is the fraction of the duration from which a release on which the
+	// evidence is not good is taken as bad. It leaves time to notify the peers before
+	// completeStart: after a restart they may know too little to see it.
+	verdictStart = 0.9
+	// forcedStart is the fraction of the duration at which requests move even if they
+	// exceed the allowed exposure.
+	forcedStart = 0.95
 	// completeStart is the fraction of the duration from which an upgrade may complete,
 	// and minMoved that for which all requests must have run on the new release by then.
 	completeStart = 0.93
@@ -73,16 +77,20 @@
 	if u.moved || progress < moveStart {
 		return
 	}
-	isDue := progress >= decisionStart
-	leansBad := u.verdict.suspicion >= suspicionThreshold || counts.badness() >= leaning
-	switch {
-	case isDue && leansBad:
+	switch leansBad := u.leansBad(counts); {
+	case leansBad && progress >= verdictStart:
 		c.markBad(u, "evidence not good by the deadline")
-	case isDue, !leansBad && c.mayMove(u, counts, progress):
+	case !leansBad && (progress >= forcedStart || c.mayMove(u, counts, progress)):
 		c.move(u, progress)
 	}
 }
 
+// leansBad reports whether the evidence is against the new release, though it may not
+// suffice to stop it.
+func (u *upgradeState) leansBad(counts routeCounts) bool {
+	return u.verdict.suspicion >= suspicionThreshold || counts.badness() >= leaning
+}
+
 // move lets all requests run on the new release. The caller holds the lock.
 func (c *Controller) move(u *upgradeState, progress float64) {
 	u.moved, u.movedAt = true, progress
