--- a/internal/upgrade/exposure_test.go
+++ b/internal/upgrade/exposure_test.go
@@ -82,6 +82,9 @@
 	return func(rng *rand.Rand, _ string, _ time.Duration, _ float64) bool { return rng.Float64() < p }
 }
 
+// underLoad names the defect that shows only once all requests have moved.
+const underLoad = "under load"
+
 var defects = []defect{
 	{name: "half fail", isBad: chance(0.5)},
 	{name: "a third fail", isBad: chance(0.31)},
@@ -94,7 +97,7 @@
 	{name: "late", isBad: func(rng *rand.Rand, _ string, since time.Duration, _ float64) bool {
 		return since > 5*time.Second && rng.Float64() < 0.5
 	}},
-	{name: "under load", isBad: func(rng *rand.Rand, _ string, _ time.Duration, share float64) bool {
+	{name: underLoad, isBad: func(rng *rand.Rand, _ string, _ time.Duration, share float64) bool {
 		return share > 0.25 && rng.Float64() < 0.02
 	}},
 }
@@ -202,8 +205,8 @@
 					synctest.Test(t, func(t *testing.T) {
 						s := simulate(t, what, &worse, seed)
 						assert.LessOrEqual(t, float64(s.newer), testExposure.Share*float64(s.all)+testExposure.Slack, "requests to the bad release of %d", s.all)
-						if worse.name == "under load" {
-							// It shows only once all requests have moved.
+						if worse.name == underLoad {
+							// See TestReleaseBadOnlyUnderLoadIsReverted.
 							return
 						}
 						assert.Equal(t, statechart.UpgradeReverted, s.fleet.records.current().State)
@@ -217,6 +220,16 @@
 	}
 }
 
+// TestReleaseBadOnlyUnderLoadIsReverted guards against a release that is completed because
+// its canary has too little load to show what is bad about it.
+func TestReleaseBadOnlyUnderLoadIsReverted(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		worse := defects[slices.IndexFunc(defects, func(d defect) bool { return d.name == underLoad })]
+		s := simulate(t, modelService, &worse, 0)
+		assert.Equal(t, statechart.UpgradeReverted, s.fleet.records.current().State)
+	})
+}
+
 // TestGoodReleaseCompletesByItsDeadline checks that the evidence clears a good release of
 // services whose answers fail now and then and vary in latency.
 func TestGoodReleaseCompletesByItsDeadline(t *testing.T) {
