--- a/internal/upgrade/exposure_test.go
+++ b/internal/upgrade/exposure_test.go
@@ -230,6 +230,23 @@
 	})
 }
 
+// TestAllInstancesMoveTogether guards against sessions that change their release back and
+// forth in a large fleet, whose instances send evidence seldom.
+func TestAllInstancesMoveTogether(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		what := modelService
+		what.instances = 60
+		s := simulate(t, what, nil, 0)
+		var moves []float64
+		for _, c := range s.fleet.controllers {
+			moves = append(moves, c.upgrades[service].movedAt)
+		}
+		skew := (slices.Max(moves) - slices.Min(moves)) * what.duration.Seconds()
+		assert.Positive(t, slices.Min(moves))
+		assert.LessOrEqual(t, skew, 2*stepInterval.Seconds())
+	})
+}
+
 // TestGoodReleaseCompletesByItsDeadline checks that the evidence clears a good release of
 // services whose answers fail now and then and vary in latency.
 func TestGoodReleaseCompletesByItsDeadline(t *testing.T) {
--- a/internal/upgrade/step.go
+++ b/internal/upgrade/step.go
@@ -66,8 +66,8 @@
 	}
 }
 
-// dueEvidence returns the evidence to send now. Bad answers are sent at the next step,
-// the mark of a bad release at every step, and new pins once minPinInterval per instance
+// dueEvidence returns the evidence to send now. Bad answers and a move are sent at the next
+// step, the mark of a bad release at every step, and new pins once minPinInterval per instance
 // has passed since the last message. Good answers are sent less often in a larger fleet,
 // to bound the total number of messages.
 func (c *Controller) dueEvidence(service string, epoch uint64) (message evidenceMessage, due bool) {
@@ -80,7 +80,7 @@
 	instances := time.Duration(len(c.Bus.Peers()) + 1)
 	sinceSent := time.Since(u.evidenceSentAt)
 	bad := c.evidence.badAnswers(u.upgrade)
-	due = sinceSent >= instances*evidenceInterval || bad != u.sentBad || u.bad
+	due = sinceSent >= instances*evidenceInterval || bad != u.sentBad || u.moved != u.sentMoved || u.bad
 	var pins []sessionPin
 	if due || u.hasUnsentPins && u.recordKnown && sinceSent >= instances*minPinInterval {
 		pins = c.pinsToSend(u)
@@ -88,7 +88,7 @@
 	if !due && len(pins) == 0 {
 		return evidenceMessage{}, false
 	}
-	u.evidenceSentAt, u.sentBad = time.Now(), bad
+	u.evidenceSentAt, u.sentBad, u.sentMoved = time.Now(), bad, u.moved
 	message = c.evidence.message(u.upgrade, epoch, u.bad)
 	message.Moved = u.moved
 	message.Pins = pins
--- a/internal/upgrade/upgrade.go
+++ b/internal/upgrade/upgrade.go
@@ -1,12 +1,13 @@
 // Package upgrade moves a service's traffic to another release of its backend
 // servers at the operator's request, and back if the release is bad.
 //
-// In the first half of the duration only a small share of sessions, selected by a
-// hash of their id, runs on the new release (the canary); a running session stays on
-// its release. In the second half the share grows in steps until all sessions have
-// moved. Instances exchange counts of good and bad answers of both releases; a
-// sequential test on the sums stops a bad release after few answers. There is no
-// leader: each instance may record the outcome, and the store accepts the first write.
+// For most of the duration only a small share of the requests runs on the new release
+// (the canary): sessions selected by a hash of their id, and requests without one by a
+// draw. In the first half a running session stays on its release. Near the end all
+// requests move, as late as needed to keep the allowed exposure to a bad release. Instances
+// exchange counts of the answers of both releases; sequential tests on the sums stop a bad
+// release after few answers. There is no leader: each instance may record the outcome, and
+// the store accepts the first write.
 package upgrade
 
 import (
@@ -27,9 +28,8 @@
 )
 
 const (
-	// canaryRate is the number of requests per second from the whole fleet to the new
-	// release in the first half: a release that fails a third of them shows 35 failures
-	// in 10 s.
+	// canaryRate is the number of requests per second from the whole fleet in a canary: a
+	// release that fails a third of them shows 35 failures in 10 s.
 	canaryRate = 10.0
 	// maxAnswerDuration is the longest time that an answer may take. The idle time of a
 	// session is counted from the end of its last answer.
@@ -76,7 +76,7 @@
 	// Started is the time at which the upgrade was first seen, on the store's clock.
 	Started time.Duration
 	State   statechart.State
-	// CanaryShare is the share of sessions on the new release in the first half.
+	// CanaryShare is the share of sessions on the new release in the canary.
 	CanaryShare float64
 	// Revision is the revision of the record; zero before it is written.
 	Revision storefeed.Position
@@ -183,9 +183,10 @@
 	// savedAt is the time of the last attempt to write the record.
 	savedAt time.Time
 	// evidenceSentAt is when this instance last sent its evidence, sentBad the number of
-	// bad answers in it.
+	// bad answers in it, and sentMoved whether it reported the move.
 	evidenceSentAt time.Time
 	sentBad        uint64
+	sentMoved      bool
 	// pins are sessions that this instance saw on the old release although their hash
 	// assigns them to the new one, with the time; they are sent to the peers.
 	pins map[sessionKey]time.Time
@@ -268,38 +269,6 @@
 	delete(c.upgrades, service)
 }
 
-// withdraw records the target of an upgrade that is replaced if it was judged bad: its
-// servers remain for some time. The caller holds the lock.
-func (c *Controller) withdraw(u *upgradeState) {
-	if u == nil || !u.isWithdrawn() {
-		return
-	}
-	service := u.upgrade.Service
-	list := append(c.withdrawn[service], u.upgrade.To)
-	c.withdrawn[service] = list[max(0, len(list)-maxEarlier):]
-}
-
-// isWithdrawn reports whether the new release was judged bad.
-func (u *upgradeState) isWithdrawn() bool {
-	state := u.machine.State()
-	return state == statechart.UpgradeReverted || u.bad && state != statechart.UpgradeCompleted
-}
-
-// IsWithdrawn implements dispatch.Releases.
-func (c *Controller) IsWithdrawn(service, release string) bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.isWithdrawn(service, release)
-}
-
-// isWithdrawn implements IsWithdrawn. The caller holds the lock.
-func (c *Controller) isWithdrawn(service, release string) bool {
-	if u := c.upgrades[service]; u != nil && u.upgrade.To == release {
-		return u.isWithdrawn()
-	}
-	return slices.Contains(c.withdrawn[service], release)
-}
-
 // Choose returns the release for a request; empty means any release.
 func (c *Controller) Choose(service, session string) string {
 	c.mu.Lock()
