requestlimit: One quota a slot, no look ahead in the filter

The filter looked up to 30 slots ahead for each request and each limited server whose part was used up, with a hash for every instance. It now asks only for the present slot, whose quota is kept; only a refusal looks ahead.

--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -132,6 +132,7 @@
 // noLimits has no limits.
 type noLimits struct{}
 
+func (noLimits) MaySend(string) bool       { return true }
 func (noLimits) Next(string) time.Duration { return 0 }
 func (noLimits) Take(string) bool          { return true }
 
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -67,6 +67,8 @@
 	scheduling.Limits
 	// Take reports whether a request may be sent to a server now, and counts it.
 	Take(server string) bool
+	// Next returns how long this instance must not send to a server; zero if it may now.
+	Next(server string) time.Duration
 }
 
 // Observation is the result of one attempt at a backend server.
--- a/internal/dispatch/limits_test.go
+++ b/internal/dispatch/limits_test.go
@@ -24,6 +24,8 @@
 	return 0
 }
 
+func (l *countedLimits) MaySend(server string) bool { return l.left[server] > 0 }
+
 func (l *countedLimits) Take(server string) bool {
 	l.left[server]--
 	return l.left[server] >= 0
--- a/internal/requestlimit/requestlimit.go
+++ b/internal/requestlimit/requestlimit.go
@@ -77,9 +77,11 @@
 	// namedAt is when an answer or a peer last named the limit, noticedAt when the peers
 	// were last notified, by this instance or another one.
 	namedAt, noticedAt time.Time
-	// used is the number of requests that this instance sent in the slot at.
-	at   slot
-	used int
+	// share is this instance's quota in the slot at, and used the number of requests that it
+	// sent there.
+	at    slot
+	share int
+	used  int
 }
 
 // New returns Limits and registers their message handler.
@@ -147,7 +149,7 @@
 	}
 	isNew := entry == nil
 	if isNew {
-		entry = &limited{started: m.Started}
+		entry = &limited{started: m.Started, at: -1}
 		l.byServer[m.Server] = entry
 		l.count.Store(int64(len(l.byServer)))
 	}
@@ -163,6 +165,17 @@
 	return isDue
 }
 
+// MaySend reports whether this instance may send a request to a server now.
+func (l *Limits) MaySend(server string) bool {
+	if l == nil || l.count.Load() == 0 {
+		return true
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	entry := l.current(server)
+	return entry == nil || l.left(server, entry) > 0
+}
+
 // Take reports whether this instance may send one more request to a server now, and counts
 // it. Every send takes one: first attempts, repeats and resumed streams.
 func (l *Limits) Take(server string) bool {
@@ -175,17 +188,9 @@
 	if entry == nil {
 		return true
 	}
-	now, others, ok := l.shared()
-	if !ok {
-		return false
-	}
-	at := slotAt(now)
-	if entry.left(server, at, l.self, others) <= 0 {
+	if l.left(server, entry) <= 0 {
 		return false
 	}
-	if entry.at != at {
-		entry.at, entry.used = at, 0
-	}
 	entry.used++
 	return true
 }
@@ -198,22 +203,39 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	entry := l.current(server)
-	if entry == nil {
+	if entry == nil || l.left(server, entry) > 0 {
 		return 0
 	}
 	now, others, ok := l.shared()
 	if !ok {
 		return slotDuration
 	}
-	first := slotAt(now)
+	first := slotAt(now) + 1
 	for at := first; at < first+maxWaitSlots; at++ {
-		if entry.left(server, at, l.self, others) > 0 {
-			return max(0, at.begin()-now)
+		if quota(entry.limit, server, at, l.self, others) > 0 {
+			return at.begin() - now
 		}
 	}
 	return maxWaitSlots * slotDuration
 }
 
+// left returns how many requests this instance may still send in the present slot. The
+// caller holds the lock.
+func (l *Limits) left(server string, entry *limited) int {
+	now, ok := l.Clock()
+	if !ok {
+		return 0
+	}
+	if at := slotAt(now); at != entry.at {
+		_, others, ok := l.shared()
+		if !ok {
+			return 0
+		}
+		entry.at, entry.share, entry.used = at, quota(entry.limit, server, at, l.self, others), 0
+	}
+	return entry.share - entry.used
+}
+
 // shared returns the time and the other instances, by which all deal out the quotas; ok is
 // false while either is unknown, and nothing may be sent.
 func (l *Limits) shared() (now time.Duration, others []member, ok bool) {
@@ -241,12 +263,3 @@
 	}
 	return entry
 }
-
-// left returns how many requests this instance may still send in a slot.
-func (e *limited) left(server string, at slot, self member, others []member) int {
-	allowed := quota(e.limit, server, at, self, others)
-	if at == e.at {
-		allowed -= e.used
-	}
-	return allowed
-}
--- a/internal/scheduling/filter_limited.go
+++ b/internal/scheduling/filter_limited.go
@@ -6,7 +6,7 @@
 
 // Reject implements Filter.
 func (LimitedFilter) Reject(req *Request, e *Entry) Reason {
-	if req.Limits != nil && req.Limits.Next(e.Server.ID) > 0 {
+	if req.Limits != nil && !req.Limits.MaySend(e.Server.ID) {
 		return RejectedLimited
 	}
 	return ""
--- a/internal/scheduling/scheduling.go
+++ b/internal/scheduling/scheduling.go
@@ -57,8 +57,8 @@
 
 // Limits are the limits of requests that backend servers named.
 type Limits interface {
-	// Next returns how long this instance must not send to a server; zero if it may now.
-	Next(server string) time.Duration
+	// MaySend reports whether this instance may send a request to a server now.
+	MaySend(server string) bool
 }
 
 // target returns the name of the version or service.
