dispatch: Log the parts of the prompt of an interrupted attempt

The logs named the server and the end of an attempt but not what its prompt was made of, so nobody could see that all requests that were running when servers ended had one part in common. Only attempts that lost their connection carry the field.

--- a/internal/dispatch/log.go
+++ b/internal/dispatch/log.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/basilrail/basilrail/internal/events"
+	"github.com/basilrail/basilrail/internal/retry"
 	"github.com/basilrail/basilrail/internal/settings"
 )
 
@@ -17,19 +18,24 @@
 	if err == errEscalated {
 		outcome = "escalated"
 	}
+	parts := ""
+	if err != nil && outcomeOf(err) == retry.OutcomeDisconnected {
+		parts = x.req.Prompt.partIDs()
+	}
 	x.d.Log.Log(events.ExchangeAttempt, events.Fields{
-		RequestID: x.req.ID,
-		Server:    p.server.ID,
-		Version:   p.server.Registration.Release,
-		Model:     p.model,
-		Path:      x.route.Name,
-		Reason:    string(p.reason),
-		Load:      p.load,
-		Count:     x.sent,
-		Duration:  time.Since(p.started),
-		Latency:   p.latency,
-		Outcome:   outcome,
-		Err:       err,
+		RequestID:   x.req.ID,
+		PromptParts: parts,
+		Server:      p.server.ID,
+		Version:     p.server.Registration.Release,
+		Model:       p.model,
+		Path:        x.route.Name,
+		Reason:      string(p.reason),
+		Load:        p.load,
+		Count:       x.sent,
+		Duration:    time.Since(p.started),
+		Latency:     p.latency,
+		Outcome:     outcome,
+		Err:         err,
 	})
 	x.d.Metrics.AttemptOutcomes.Add(outcome, 1)
 	x.d.Metrics.AttemptDuration.Record(time.Since(p.started))
--- a/internal/dispatch/request.go
+++ b/internal/dispatch/request.go
@@ -6,6 +6,8 @@
 
 import (
 	"net/http"
+	"strconv"
+	"strings"
 	"time"
 
 	"github.com/basilrail/basilrail/internal/fleet"
@@ -57,6 +59,15 @@
 	return tokens
 }
 
+// partIDs returns the ids of the parts in hexadecimal, separated by commas.
+func (p Prompt) partIDs() string {
+	ids := make([]string, len(p.Parts))
+	for i, part := range p.Parts {
+		ids[i] = strconv.FormatUint(part.ID, 16)
+	}
+	return strings.Join(ids, ",")
+}
+
 // Request is one request of a caller.
 type Request struct {
 	// ID is the request id given by the caller; backend servers echo it.
--- a/internal/events/events.go
+++ b/internal/events/events.go
@@ -49,7 +49,9 @@
 	Model    string
 	Outcome  string
 	Status   int
-	Load     float64
+	// PromptParts are the ids of the parts of a prompt, in hexadecimal.
+	PromptParts string
+	Load        float64
 	// Bad is the number of bad answers among Count.
 	Bad int
 	// Rate is in requests per second.
@@ -138,6 +140,7 @@
 	text("reason", f.Reason)
 	text("model", f.Model)
 	text("outcome", f.Outcome)
+	text("prompt_parts", f.PromptParts)
 	integer := func(name string, value int) {
 		if value != 0 {
 			v.integer(name, int64(value))
--- a/internal/events/exchanges.go
+++ b/internal/events/exchanges.go
@@ -7,7 +7,7 @@
 	ExchangeAttempt = register(Event{
 		Number: 2101, Name: "exchange_attempt", Level: logrus.InfoLevel,
 		Message: "an attempt at a backend server ended",
-		Action:  "Reason and load show why the server was selected, outcome how the attempt ended.",
+		Action:  "Reason and load show why the server was selected, outcome how the attempt ended, prompt_parts the parts of the prompt if the connection was lost: a part that all such attempts share may crash servers.",
 	})
 	ExchangeEscalated = register(Event{
 		Number: 2102, Name: "exchange_escalated", Level: logrus.InfoLevel,
