--- /dev/null
+++ b/internal/dispatch/deadlyfleet_test.go
@@ -0,0 +1,334 @@
+package dispatch
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/basilrail/basilrail/internal/bootclock"
+	"github.com/basilrail/basilrail/internal/fleet"
+	"github.com/basilrail/basilrail/internal/metrics"
+	"github.com/basilrail/basilrail/internal/peers/membus"
+	"github.com/basilrail/basilrail/internal/quarantine"
+	"github.com/basilrail/basilrail/internal/retry"
+	"github.com/basilrail/basilrail/internal/routing"
+)
+
+// Times of the simulated servers.
+const (
+	simPrefill    = 150 * time.Millisecond
+	simCrashDelay = 60 * time.Millisecond
+	simEventGap   = 100 * time.Millisecond
+	simRestart    = 3 * time.Second
+	// simListDelay is how long the instances still list a server that has crashed.
+	simListDelay = 800 * time.Millisecond
+)
+
+// simParts describes the prompts of a simulated day: every request has a first part, a
+// subject and a part of its own.
+const (
+	simFirstParts = 5
+	simSubjects   = 40
+	simOwnParts   = 1 << 40
+)
+
+// simFleet is a fleet of instances before servers that crash when they begin to answer a
+// request with a deadly part, in virtual time and without a network.
+type simFleet struct {
+	network   *membus.Network
+	instances []*simInstance
+	// deadly are the parts that crash servers.
+	deadly []uint64
+
+	mu      sync.Mutex
+	rng     *rand.Rand
+	servers map[string]*simServer
+	next    int
+	// crashes are when servers crashed by deadly parts, deadlySends when requests with such
+	// parts reached servers.
+	crashes     []time.Time
+	deadlySends []time.Time
+	sound       []*simOutcome
+}
+
+// simInstance is one instance; it is replaced when it restarts.
+type simInstance struct {
+	name string
+	d    *Dispatcher
+	stop context.CancelFunc
+}
+
+// simServer is a process of a backend server.
+type simServer struct {
+	id string
+	// crashed is closed at the end of the process.
+	crashed chan struct{}
+}
+
+// simOutcome is what happened to a request without a deadly part.
+type simOutcome struct {
+	arrived time.Time
+	first   uint64
+	// began is set if the first attempt's head arrived.
+	began    bool
+	attempts int
+}
+
+// simRequestKey is the context key of a request's *simOutcome.
+type simRequestKey struct{}
+
+func newSimFleet(instances, servers int, seed uint64, deadly ...uint64) *simFleet {
+	f := &simFleet{
+		network: membus.New(), deadly: deadly, rng: rand.New(rand.NewPCG(seed, 7)), servers: make(map[string]*simServer),
+	}
+	for range servers {
+		f.next++
+		id := fmt.Sprint("s", f.next)
+		f.servers[id] = &simServer{id: id, crashed: make(chan struct{})}
+	}
+	for i := range instances {
+		f.instances = append(f.instances, f.newInstance(fmt.Sprint("i", i)))
+	}
+	return f
+}
+
+func simRegistration(id string) fleet.Registration {
+	return fleet.Registration{ID: id, Service: "models", Address: id + ":1", FailureDomain: "here", Slots: 64}
+}
+
+// newInstance starts an instance that knows nothing of earlier crashes.
+func (f *simFleet) newInstance(name string) *simInstance {
+	ctx, stop := context.WithCancel(context.Background())
+	state := routing.NewState(func() bootclock.Time { return bootclock.Time(time.Hour) }, time.Hour)
+	state.Put(routing.New(routing.Config{
+		Version: 1, Keys: map[string]*routing.Account{"key": {Name: "alice"}, "other": {Name: "bob"}},
+		Routes: []routing.Route{{
+			Host: "h", Prefix: "/chat/", Kind: routing.Streaming, Resumable: true, CarriesPrompt: true, Timeout: 20 * time.Second,
+			TargetLatency: 3 * time.Second, MaxEventGap: 800 * time.Millisecond, MaxAttempts: 3, Models: []string{"small", "large"},
+			Targets: []routing.Target{{Service: "models", Weight: 1}},
+		}},
+	}))
+	state.Confirm(bootclock.Time(time.Hour))
+	set := fleet.NewSet("here", nil)
+	for id := range f.servers {
+		set.Put(simRegistration(id))
+	}
+	bus := f.network.Join(name, "here")
+	seed := f.rng.Uint64()
+	tracker := quarantine.NewDisconnectTracker(bus, nil)
+	go tracker.Run(ctx)
+	d := New(Options{
+		Routing: state, Fleet: set, Transport: &simTransport{fleet: f}, Releases: noReleases{}, Disconnects: tracker, Limits: noLimits{},
+		Budgets:       retry.NewBudgets(retry.Limit{Ratio: 0.9, Slack: 100, Window: 10 * time.Second}, func() int { return 1 }),
+		FailureDomain: "here", Seed: seed, Metrics: metrics.New(metrics.Sources{}),
+	})
+	return &simInstance{name: name, d: d, stop: stop}
+}
+
+// close ends the background work of all instances.
+func (f *simFleet) close() {
+	for _, i := range f.instances {
+		i.stop()
+	}
+}
+
+// restart replaces all instances by new ones of the same names.
+func (f *simFleet) restart() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for i, old := range f.instances {
+		old.stop()
+		f.instances[i] = f.newInstance(old.name)
+	}
+}
+
+// crash ends a server. It comes back as another process.
+func (f *simFleet) crash(id string, byRequest bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	s, ok := f.servers[id]
+	if !ok {
+		return
+	}
+	delete(f.servers, id)
+	close(s.crashed)
+	if byRequest {
+		f.crashes = append(f.crashes, time.Now())
+	}
+	time.AfterFunc(simListDelay, func() { f.each(func(set *fleet.Set) { set.Remove(id) }) })
+	time.AfterFunc(simRestart, func() {
+		f.mu.Lock()
+		f.next++
+		id := fmt.Sprint("s", f.next)
+		f.servers[id] = &simServer{id: id, crashed: make(chan struct{})}
+		f.mu.Unlock()
+		f.each(func(set *fleet.Set) { set.Put(simRegistration(id)) })
+	})
+}
+
+// crashSome crashes a share of the servers at once.
+func (f *simFleet) crashSome(share float64) {
+	f.mu.Lock()
+	var ids []string
+	for id := range f.servers {
+		ids = append(ids, id)
+	}
+	slices.Sort(ids)
+	f.rng.Shuffle(len(ids), func(i, j int) { ids[i], ids[j] = ids[j], ids[i] })
+	f.mu.Unlock()
+	for _, id := range ids[:int(share*float64(len(ids)))] {
+		f.crash(id, false)
+	}
+}
+
+func (f *simFleet) each(do func(set *fleet.Set)) {
+	f.mu.Lock()
+	instances := slices.Clone(f.instances)
+	f.mu.Unlock()
+	for _, i := range instances {
+		do(i.d.Fleet)
+	}
+}
+
+func (f *simFleet) isDeadly(p Prompt) bool {
+	return slices.ContainsFunc(p.Parts, func(part Part) bool { return slices.Contains(f.deadly, part.ID) })
+}
+
+// draw returns a random instance and the prompt of a request; deadly requests share their
+// first part, subject and client account with sound ones.
+func (f *simFleet) draw(share float64) (*simInstance, Prompt) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	i := f.instances[f.rng.IntN(len(f.instances))]
+	first := uint64(1 + f.rng.IntN(simFirstParts))
+	subject := first<<16 + uint64(float64(simSubjects)*f.rng.Float64()*f.rng.Float64())
+	own := Part{ID: simOwnParts + f.rng.Uint64N(1<<40), Tokens: 500}
+	prompt := Prompt{Parts: []Part{{ID: first, Tokens: 500}, {ID: subject, Tokens: 900}}, InputTokens: 2000, MaxOutputTokens: 100}
+	if f.rng.Float64() < share {
+		k := f.rng.IntN(len(f.deadly))
+		prompt.Parts = []Part{{ID: 1, Tokens: 500}, {ID: 1<<16 + uint64(k), Tokens: 900}, {ID: f.deadly[k], Tokens: 160}}
+	}
+	prompt.Parts = append(prompt.Parts, own)
+	return i, prompt
+}
+
+// load sends requests a second for a time, a share of them with a deadly part. A caller
+// repeats a failed request once, at another instance.
+func (f *simFleet) load(d time.Duration, perSecond, share float64) {
+	const step = 10 * time.Millisecond
+	due := 0.0
+	for range int(d / step) {
+		time.Sleep(step)
+		for due += perSecond * step.Seconds(); due >= 1; due-- {
+			i, prompt := f.draw(share)
+			go f.serve(i, prompt)
+		}
+	}
+}
+
+func (f *simFleet) serve(i *simInstance, prompt Prompt) {
+	ctx := context.Background()
+	if !f.isDeadly(prompt) {
+		o := &simOutcome{arrived: time.Now(), first: prompt.Parts[0].ID}
+		f.mu.Lock()
+		f.sound = append(f.sound, o)
+		f.mu.Unlock()
+		ctx = context.WithValue(ctx, simRequestKey{}, o)
+	}
+	for range 2 {
+		f.mu.Lock()
+		id := fmt.Sprint("r", f.rng.Uint64())
+		f.mu.Unlock()
+		c := &caller{}
+		i.d.Serve(ctx, &Request{
+			ID: id, Host: "h", Path: "/chat/", Key: "key", Arrived: time.Now(), AnyModel: true, Prompt: prompt, Body: []byte(id),
+		}, c)
+		if c.ended {
+			return
+		}
+		time.Sleep(300 * time.Millisecond)
+		i, _ = f.draw(0)
+	}
+}
+
+// simTransport is the Transport of all instances.
+type simTransport struct {
+	fleet *simFleet
+}
+
+// Send implements Transport.
+func (t *simTransport) Send(ctx context.Context, a *Attempt) (Answer, error) {
+	f := t.fleet
+	deadly := f.isDeadly(a.Request.Prompt)
+	f.mu.Lock()
+	server, ok := f.servers[a.Server.ID]
+	wait := simPrefill + time.Duration(f.rng.Int64N(int64(simPrefill)))
+	events, confidence := 5+f.rng.IntN(30), f.rng.IntN(100)
+	if ok && deadly {
+		f.deadlySends = append(f.deadlySends, time.Now())
+	}
+	f.mu.Unlock()
+	if !ok {
+		return nil, NewSendError(retry.OutcomeConnectFailed, errTest)
+	}
+	outcome, _ := ctx.Value(simRequestKey{}).(*simOutcome)
+	if outcome != nil {
+		outcome.attempts++
+	}
+	answer := &simAnswer{ctx: ctx, server: server, attempt: a, events: events, head: Head{Status: http.StatusOK, Stream: true, Confidence: confidence}}
+	if err := answer.sleep(wait); err != nil {
+		return nil, err
+	}
+	if deadly {
+		time.AfterFunc(simCrashDelay, func() { f.crash(server.id, true) })
+	}
+	if outcome != nil && outcome.attempts == 1 {
+		outcome.began = true
+	}
+	a.Server.RecordReceived()
+	return answer, nil
+}
+
+// simAnswer is a stream of a simulated server.
+type simAnswer struct {
+	ctx     context.Context
+	server  *simServer
+	attempt *Attempt
+	head    Head
+	events  int
+}
+
+// sleep waits for the server; it returns an error if the server crashes or the context ends.
+func (s *simAnswer) sleep(d time.Duration) error {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-s.server.crashed:
+		return NewSendError(retry.OutcomeDisconnected, errTest)
+	case <-s.ctx.Done():
+		return NewSendError(retry.OutcomeCallerGone, s.ctx.Err())
+	case <-timer.C:
+		return nil
+	}
+}
+
+func (s *simAnswer) Head() Head            { return s.head }
+func (s *simAnswer) Body() ([]byte, error) { return nil, errTest }
+func (s *simAnswer) Close()                {}
+
+func (s *simAnswer) Next() (Event, error) {
+	if s.events == 0 {
+		return Event{}, io.EOF
+	}
+	if err := s.sleep(simEventGap); err != nil {
+		return Event{}, err
+	}
+	s.events--
+	s.attempt.Server.RecordReceived()
+	return Event{ID: "1", Raw: []byte("x")}, nil
+}
