poison: Refuse parts of prompts that crash servers

Cause: crashes were counted by whole contents, and no two of these requests are alike. What they have in common was scattered over all instances, among sound requests that ran on the same servers.

Class of fault: evidence that no instance has alone. Instances now report the parts of the requests that had just begun, or had not, when a server ended, and the parts that servers answered since. Each of them merges the reports in any order and comes to the same verdict: a part at three separate crashes that no server ever answered, with all that always accompanied it. Requests with these parts are refused at once, those that wait at servers are cancelled, and the verdict is a row of the product's table.

--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -32,7 +32,10 @@
 	defer p.server.End(p.tokens)
 	p.server.AddPrefill(p.prefill)
 	defer x.endPrefill(p)
-	answer, err := x.d.Transport.Send(ctx, p.attempt)
+	attemptCtx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	x.watch(p, cancel)
+	answer, err := x.d.Transport.Send(attemptCtx, p.attempt)
 	if outcome := outcomeOf(err); err == nil || (outcome != retry.OutcomeConnectFailed && outcome != retry.OutcomeNotSent) {
 		x.sent++
 	}
@@ -41,6 +44,7 @@
 		defer answer.Close()
 		err = x.relayAnswer(p, answer)
 	}
+	err = x.endWatch(ctx, p, err)
 	x.recordOutcome(ctx, p, err)
 	x.recordDisconnect(ctx, p, err)
 	return err
@@ -65,6 +69,7 @@
 // without a final answer, also when the request is escalated.
 func (x *exchange) relayAnswer(p *placement, answer Answer) error {
 	head := answer.Head()
+	p.watched.Received()
 	x.recordLatency(p)
 	if x.streamStarted {
 		if !head.Stream || head.Status != http.StatusOK {
@@ -161,6 +166,7 @@
 		if err != nil {
 			return err
 		}
+		p.watched.Received()
 		if x.forwardEvent(event) != nil {
 			return errCallerGone
 		}
--- a/internal/dispatch/deadlyfleet_test.go
+++ b/internal/dispatch/deadlyfleet_test.go
@@ -14,9 +14,12 @@
 	"github.com/basilrail/basilrail/internal/fleet"
 	"github.com/basilrail/basilrail/internal/metrics"
 	"github.com/basilrail/basilrail/internal/peers/membus"
+	"github.com/basilrail/basilrail/internal/poison"
 	"github.com/basilrail/basilrail/internal/quarantine"
 	"github.com/basilrail/basilrail/internal/retry"
 	"github.com/basilrail/basilrail/internal/routing"
+	"github.com/basilrail/basilrail/internal/storefeed"
+	"github.com/basilrail/basilrail/internal/wait"
 )
 
 // Times of the simulated servers.
@@ -40,20 +43,24 @@
 // simFleet is a fleet of instances before servers that crash when they begin to answer a
 // request with a deadly part, in virtual time and without a network.
 type simFleet struct {
-	network   *membus.Network
+	network *membus.Network
+	// size is the number of instances.
+	size      int
 	instances []*simInstance
 	// deadly are the parts that crash servers.
 	deadly []uint64
+	// records are the stored verdicts.
+	records *simRecords
 
 	mu      sync.Mutex
 	rng     *rand.Rand
 	servers map[string]*simServer
 	next    int
-	// crashes are when servers crashed by deadly parts, deadlySends when requests with such
-	// parts reached servers.
-	crashes     []time.Time
-	deadlySends []time.Time
-	sound       []*simOutcome
+	// crashes are when servers crashed by each deadly part, sends when requests with it
+	// reached servers.
+	crashes map[uint64][]time.Time
+	sends   map[uint64][]time.Time
+	sound   []*simOutcome
 }
 
 // simInstance is one instance; it is replaced when it restarts.
@@ -84,7 +91,8 @@
 
 func newSimFleet(instances, servers int, seed uint64, deadly ...uint64) *simFleet {
 	f := &simFleet{
-		network: membus.New(), deadly: deadly, rng: rand.New(rand.NewPCG(seed, 7)), servers: make(map[string]*simServer),
+		network: membus.New(), size: instances, deadly: deadly, records: &simRecords{began: time.Now()}, rng: rand.New(rand.NewPCG(seed, 7)), servers: make(map[string]*simServer),
+		crashes: make(map[uint64][]time.Time), sends: make(map[uint64][]time.Time),
 	}
 	for range servers {
 		f.next++
@@ -122,7 +130,11 @@
 	seed := f.rng.Uint64()
 	tracker := quarantine.NewDisconnectTracker(bus, nil)
 	go tracker.Run(ctx)
+	guard := poison.New(poison.Options{Bus: bus, FleetSize: func() int { return f.size }, Records: f.records, Seed: seed})
+	go guard.Run(ctx)
+	go f.records.follow(ctx, guard)
 	d := New(Options{
+		Poison:  guard,
 		Routing: state, Fleet: set, Transport: &simTransport{fleet: f}, Releases: noReleases{}, Disconnects: tracker, Limits: noLimits{},
 		Budgets:       retry.NewBudgets(retry.Limit{Ratio: 0.9, Slack: 100, Window: 10 * time.Second}, func() int { return 1 }),
 		FailureDomain: "here", Seed: seed, Metrics: metrics.New(metrics.Sources{}),
@@ -147,8 +159,9 @@
 	}
 }
 
-// crash ends a server. It comes back as another process.
-func (f *simFleet) crash(id string, byRequest bool) {
+// crash ends a server, by a request with a deadly part or, if that is zero, for another
+// reason. It comes back as another process.
+func (f *simFleet) crash(id string, deadly uint64) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	s, ok := f.servers[id]
@@ -157,8 +170,8 @@
 	}
 	delete(f.servers, id)
 	close(s.crashed)
-	if byRequest {
-		f.crashes = append(f.crashes, time.Now())
+	if deadly != 0 {
+		f.crashes[deadly] = append(f.crashes[deadly], time.Now())
 	}
 	time.AfterFunc(simListDelay, func() { f.each(func(set *fleet.Set) { set.Remove(id) }) })
 	time.AfterFunc(simRestart, func() {
@@ -182,7 +195,7 @@
 	f.rng.Shuffle(len(ids), func(i, j int) { ids[i], ids[j] = ids[j], ids[i] })
 	f.mu.Unlock()
 	for _, id := range ids[:int(share*float64(len(ids)))] {
-		f.crash(id, false)
+		f.crash(id, 0)
 	}
 }
 
@@ -195,8 +208,14 @@
 	}
 }
 
-func (f *simFleet) isDeadly(p Prompt) bool {
-	return slices.ContainsFunc(p.Parts, func(part Part) bool { return slices.Contains(f.deadly, part.ID) })
+// deadlyPartOf returns the deadly part of a prompt; zero for none.
+func (f *simFleet) deadlyPartOf(p Prompt) uint64 {
+	for _, part := range p.Parts {
+		if slices.Contains(f.deadly, part.ID) {
+			return part.ID
+		}
+	}
+	return 0
 }
 
 // draw returns a random instance and the prompt of a request; deadly requests share their
@@ -233,7 +252,7 @@
 
 func (f *simFleet) serve(i *simInstance, prompt Prompt) {
 	ctx := context.Background()
-	if !f.isDeadly(prompt) {
+	if f.deadlyPartOf(prompt) == 0 {
 		o := &simOutcome{arrived: time.Now(), first: prompt.Parts[0].ID}
 		f.mu.Lock()
 		f.sound = append(f.sound, o)
@@ -264,36 +283,47 @@
 // Send implements Transport.
 func (t *simTransport) Send(ctx context.Context, a *Attempt) (Answer, error) {
 	f := t.fleet
-	deadly := f.isDeadly(a.Request.Prompt)
+	deadly := f.deadlyPartOf(a.Request.Prompt)
 	f.mu.Lock()
 	server, ok := f.servers[a.Server.ID]
-	wait := simPrefill + time.Duration(f.rng.Int64N(int64(simPrefill)))
+	delay := simPrefill + time.Duration(f.rng.Int64N(int64(simPrefill)))
 	events, confidence := 5+f.rng.IntN(30), f.rng.IntN(100)
-	if ok && deadly {
-		f.deadlySends = append(f.deadlySends, time.Now())
+	if ok && deadly != 0 {
+		f.sends[deadly] = append(f.sends[deadly], time.Now())
 	}
 	f.mu.Unlock()
 	if !ok {
 		return nil, NewSendError(retry.OutcomeConnectFailed, errTest)
 	}
 	outcome, _ := ctx.Value(simRequestKey{}).(*simOutcome)
-	if outcome != nil {
-		outcome.attempts++
-	}
+	isFirst := f.countAttempt(outcome)
 	answer := &simAnswer{ctx: ctx, server: server, attempt: a, events: events, head: Head{Status: http.StatusOK, Stream: true, Confidence: confidence}}
-	if err := answer.sleep(wait); err != nil {
+	if err := answer.sleep(delay); err != nil {
 		return nil, err
 	}
-	if deadly {
-		time.AfterFunc(simCrashDelay, func() { f.crash(server.id, true) })
+	if deadly != 0 {
+		time.AfterFunc(simCrashDelay, func() { f.crash(server.id, deadly) })
 	}
-	if outcome != nil && outcome.attempts == 1 {
+	if isFirst {
+		f.mu.Lock()
 		outcome.began = true
+		f.mu.Unlock()
 	}
 	a.Server.RecordReceived()
 	return answer, nil
 }
 
+// countAttempt counts an attempt of a sound request and reports whether it is the first one.
+func (f *simFleet) countAttempt(o *simOutcome) bool {
+	if o == nil {
+		return false
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	o.attempts++
+	return o.attempts == 1
+}
+
 // simAnswer is a stream of a simulated server.
 type simAnswer struct {
 	ctx     context.Context
@@ -332,3 +362,71 @@
 	s.attempt.Server.RecordReceived()
 	return Event{ID: "1", Raw: []byte("x")}, nil
 }
+
+// simRecords is the store of the verdicts.
+type simRecords struct {
+	began   time.Time
+	mu      sync.Mutex
+	down    bool
+	version uint64
+	rows    []poison.Record
+}
+
+// simFeedDelay is how often the instances read the store.
+const simFeedDelay = time.Second
+
+func (r *simRecords) setDown(down bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.down = down
+}
+
+func (r *simRecords) read() ([]poison.Record, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return slices.Clone(r.rows), !r.down
+}
+
+// follow passes the rows to a tracker.
+func (r *simRecords) follow(ctx context.Context, t *poison.Tracker) {
+	apply := func() {
+		if rows, ok := r.read(); ok {
+			t.ApplyRecords(rows, true)
+		}
+	}
+	apply()
+	wait.Every(ctx, simFeedDelay, apply)
+}
+
+// change replaces the row of a record, which must be at its position, by others.
+func (r *simRecords) change(old poison.Record, by ...poison.Record) error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.down {
+		return errTest
+	}
+	i := slices.IndexFunc(r.rows, func(row poison.Record) bool { return slices.Equal(row.Parts, old.Parts) })
+	if i < 0 && !old.Position.IsZero() || i >= 0 && r.rows[i].Position != old.Position {
+		return poison.ErrConflict
+	}
+	if i >= 0 {
+		r.rows = slices.Delete(r.rows, i, i+1)
+	}
+	r.version++
+	for _, row := range by {
+		row.Position = storefeed.Position{Era: 1, Revision: r.version}
+		r.rows = append(r.rows, row)
+	}
+	return nil
+}
+
+// Save implements poison.RecordStore.
+func (r *simRecords) Save(_ context.Context, record poison.Record) error {
+	return r.change(record, record)
+}
+
+// Remove implements poison.RecordStore.
+func (r *simRecords) Remove(_ context.Context, record poison.Record) error { return r.change(record) }
+
+// Now implements poison.RecordStore.
+func (r *simRecords) Now() (time.Duration, bool) { return time.Since(r.began) + time.Hour, true }
--- a/internal/dispatch/disconnects.go
+++ b/internal/dispatch/disconnects.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 
+	"github.com/pkg/errors"
+
 	"github.com/basilrail/basilrail/internal/quarantine"
 	"github.com/basilrail/basilrail/internal/retry"
 )
@@ -16,9 +18,55 @@
 	return x.cachedFingerprint
 }
 
+// errPartRefused ends an attempt whose prompt has a part that was found to crash servers
+// while the server had not answered yet.
+var errPartRefused = NewSendError(retry.OutcomeCallerGone, errors.New("a part of the prompt was found to crash servers"))
+
+// checkParts refuses a request whose prompt has a part that crashes servers. If the request
+// passes as a trial, its further attempts pass until one loses its connection.
+func (x *exchange) checkParts() *Refusal {
+	if !x.route.CarriesPrompt || x.isTrial {
+		return nil
+	}
+	wait, refused, isTrial := x.d.Poison.Refused(x.req.Prompt.sharedParts())
+	x.isTrial = isTrial
+	if !refused {
+		return nil
+	}
+	return &Refusal{Reason: Quarantined, Execution: x.execution, RetryAfter: wait}
+}
+
+// watch lets the poison tracker follow an attempt; cancel ends it.
+func (x *exchange) watch(p *placement, cancel context.CancelFunc) {
+	if x.route.CarriesPrompt {
+		p.watched = x.d.Poison.Begin(p.server.ID, x.req.Prompt.sharedParts(), cancel)
+	}
+}
+
+// endWatch reports the end of an attempt to the poison tracker. It returns errPartRefused
+// if the tracker has ended it.
+func (x *exchange) endWatch(ctx context.Context, p *placement, err error) error {
+	switch {
+	case err == nil:
+		p.watched.Answered()
+	case p.watched.WasRefused() && ctx.Err() == nil:
+		p.watched.Ended()
+		return errPartRefused
+	case outcomeOf(err) == retry.OutcomeDisconnected && ctx.Err() == nil:
+		p.watched.Disconnected()
+		x.isTrial = false
+	default:
+		p.watched.Ended()
+	}
+	return err
+}
+
 // checkQuarantine refuses a request whose content has repeatedly made servers
-// disconnect while they ran it.
+// disconnect while they ran it, or whose prompt has a part that crashes them.
 func (x *exchange) checkQuarantine() *Refusal {
+	if refusal := x.checkParts(); refusal != nil {
+		return refusal
+	}
 	if x.d.Disconnects.Empty() {
 		return nil
 	}
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -12,6 +12,7 @@
 	"github.com/basilrail/basilrail/internal/fleet"
 	"github.com/basilrail/basilrail/internal/metrics"
 	"github.com/basilrail/basilrail/internal/modeltier"
+	"github.com/basilrail/basilrail/internal/poison"
 	"github.com/basilrail/basilrail/internal/prefill"
 	"github.com/basilrail/basilrail/internal/quarantine"
 	"github.com/basilrail/basilrail/internal/retry"
@@ -99,6 +100,8 @@
 	// Notifier may be nil.
 	Notifier    UnresponsiveNotifier
 	Disconnects DisconnectTracker
+	// Poison finds parts of prompts that crash servers; it may be nil.
+	Poison *poison.Tracker
 	// Limits are the limits of requests that servers named.
 	Limits Limits
 	// Budgets bounds the attempts after the first.
--- a/internal/dispatch/exchange.go
+++ b/internal/dispatch/exchange.go
@@ -8,6 +8,7 @@
 	"github.com/basilrail/basilrail/internal/events"
 	"github.com/basilrail/basilrail/internal/fleet"
 	"github.com/basilrail/basilrail/internal/modeltier"
+	"github.com/basilrail/basilrail/internal/poison"
 	"github.com/basilrail/basilrail/internal/quarantine"
 	"github.com/basilrail/basilrail/internal/retry"
 	"github.com/basilrail/basilrail/internal/routing"
@@ -70,6 +71,8 @@
 	tried []string
 	// execution is the furthest execution status of all attempts so far.
 	execution apierror.ExecutionStatus
+	// isTrial is set while the request passes although its parts are refused.
+	isTrial bool
 	// hasFailed is set once an attempt failed or timed out at a server.
 	hasFailed bool
 	// serverFailure is a failure response of a server. It is delivered unless
@@ -105,6 +108,8 @@
 	latency time.Duration
 	model   string
 	attempt *Attempt
+	// watched is the attempt at the poison tracker; nil for none.
+	watched *poison.Attempt
 }
 
 // run makes attempts until one answers or no further attempt is allowed.
@@ -235,7 +240,11 @@
 	if x.mayRepeat(ctx, outcome) {
 		return nil
 	}
-	return &Refusal{Reason: reasonOf(outcome), Execution: x.execution, RetryAfter: shortRetryAfter}
+	reason := reasonOf(outcome)
+	if err == errPartRefused {
+		reason = Quarantined
+	}
+	return &Refusal{Reason: reason, Execution: x.execution, RetryAfter: shortRetryAfter}
 }
 
 // mayRepeat reports whether the request may be sent to another server.
--- a/internal/dispatch/request.go
+++ b/internal/dispatch/request.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/basilrail/basilrail/internal/fleet"
+	"github.com/basilrail/basilrail/internal/poison"
 )
 
 // Part is one part of a prompt. Other requests may share it.
@@ -50,6 +51,18 @@
 	return p.Parts[len(p.Parts)-2].ID
 }
 
+// sharedParts are the ids of the parts that other requests may share: all but the last.
+func (p Prompt) sharedParts() []poison.Part {
+	if len(p.Parts) < 2 {
+		return nil
+	}
+	parts := make([]poison.Part, len(p.Parts)-1)
+	for i := range parts {
+		parts[i] = poison.Part(p.Parts[i].ID)
+	}
+	return parts
+}
+
 // sharedPrefixTokens is the length of the shared prefix.
 func (p Prompt) sharedPrefixTokens() int {
 	tokens := 0
--- a/internal/events/servers.go
+++ b/internal/events/servers.go
@@ -90,6 +90,23 @@
 		Message: "a backend server named a limit of requests that is not a number; its last valid one stays in use",
 		Action:  "Report it to the owner of the server.",
 	})
+	PromptPartRefused = register(Event{
+		Number: 6021, Name: "prompt_part_refused", Level: logrus.ErrorLevel,
+		Message: "servers crashed each time when they began to answer requests with the prompt_parts; requests with all of these parts are refused; count is the number of crashes if this instance found it",
+		Action:  "Report the engine bug with the parts. The refusal ends if such a request is answered, or when its row in the product's table is removed.",
+	})
+	PromptPartAllowed = register(Event{
+		Number: 6022, Name: "prompt_part_allowed", Level: logrus.WarnLevel,
+		Message: "requests with the prompt_parts are no longer refused: servers have answered such requests, or the record was removed or has expired",
+	})
+	PromptPartTrial = register(Event{
+		Number: 6023, Name: "prompt_part_trial", Level: logrus.WarnLevel,
+		Message: "this instance lets one request with the refused prompt_parts pass, to see whether it still crashes its server; count is the number of such trials so far",
+	})
+	PromptPartRecordFailed = register(Event{
+		Number: 6024, Name: "prompt_part_record_failed", Level: logrus.WarnLevel,
+		Message: "the record of refused prompt parts could not be written or read; the refusal itself stays in effect",
+	})
 	ContentDisconnectsServers = register(Event{
 		Number: 6014, Name: "content_breaks_servers", Level: logrus.ErrorLevel,
 		Message: "several servers disconnected, one after another, while running the same request; it is refused temporarily",
--- a/internal/peers/bus.go
+++ b/internal/peers/bus.go
@@ -80,6 +80,10 @@
 // or that it names none any more.
 const KindRequestLimit Kind = 34
 
+// KindPromptCrash reports parts of prompts that had just been sent to servers when these
+// crashed, those that servers answered, and those that are refused.
+const KindPromptCrash Kind = 35
+
 // KindCommit requests that a peer commit a transaction to the table service.
 const KindCommit Kind = 24
 
@@ -116,8 +120,8 @@
 	// Broadcast sends a message to every instance at best effort, directly or
 	// relayed. In a fleet too large to be fully connected, only KindSettingsHint,
 	// KindSuspension, KindSuspect, KindServerState, KindTableChange,
-	// KindUpgradeEvidence, KindCrashingContent, KindServerLeaving and KindRequestLimit
-	// go beyond the neighbours.
+	// KindUpgradeEvidence, KindCrashingContent, KindServerLeaving, KindRequestLimit and
+	// KindPromptCrash go beyond the neighbours.
 	Broadcast(kind Kind, body any)
 	// Request sends a message to one peer and decodes the answer into reply, unless
 	// reply is nil.
--- a/internal/peers/mesh/envelope.go
+++ b/internal/peers/mesh/envelope.go
@@ -113,7 +113,7 @@
 			return 2
 		}
 		return maxHops
-	case peers.KindTableChange, peers.KindUpgradeEvidence, peers.KindCrashingContent, peers.KindServerLeaving, peers.KindRequestLimit:
+	case peers.KindTableChange, peers.KindUpgradeEvidence, peers.KindCrashingContent, peers.KindServerLeaving, peers.KindRequestLimit, peers.KindPromptCrash:
 		if fullMesh {
 			return 1
 		}
--- /dev/null
+++ b/internal/poison/messages.go
@@ -0,0 +1,322 @@
+package poison
+
+import (
+	"context"
+	"encoding/binary"
+	"maps"
+	"math"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/pkg/errors"
+
+	"github.com/basilrail/basilrail/internal/peers"
+)
+
+const (
+	// activeInterval is the interval between two rounds of messages while there are recent
+	// crashes, idleInterval while there are only verdicts.
+	activeInterval = 50 * time.Millisecond
+	idleInterval   = 500 * time.Millisecond
+	// settleTime is the time in which the reports of all instances on one crash arrive.
+	settleTime = 10 * time.Millisecond
+	// activeTime is how long a crash is recent.
+	activeTime = 3 * time.Second
+	// roundSenders is the number of instances that send in the first round what many of
+	// them may know, and senderGrowth the factor for each further round in which nobody
+	// did. So a fleet of any size sends a few messages.
+	roundSenders = 8
+	senderGrowth = 2
+	// repeatsPerSecond is how often the fleet repeats its verdicts, for instances that were
+	// cut off.
+	repeatsPerSecond = 3
+	// aliveMargin is how long after its presumed crash a server must send something that
+	// proves it alive: what it sent before may arrive late.
+	aliveMargin = 200 * time.Millisecond
+	// maxVerdicts bounds the verdicts and maxPerMessage the entries of each list in a
+	// message.
+	maxVerdicts   = 64
+	maxPerMessage = 64
+)
+
+// message is the body of peers.KindPromptCrash.
+type message struct {
+	Crashes []crashReport `cbor:"1,keyasint,omitempty"`
+	// Alive are servers that sent something after their presumed crash.
+	Alive    []string        `cbor:"2,keyasint,omitempty"`
+	Sound    []soundReport   `cbor:"3,keyasint,omitempty"`
+	Verdicts []verdictReport `cbor:"4,keyasint,omitempty"`
+}
+
+// crashReport lists the parts of one instance's requests that ran when a server ended.
+type crashReport struct {
+	Server string `cbor:"1,keyasint"`
+	// Age is the time since the crash, in milliseconds.
+	Age int64 `cbor:"2,keyasint"`
+	// Requests holds the parts of each request, 8 bytes each, the most significant first.
+	Requests [][]byte `cbor:"3,keyasint"`
+}
+
+// soundReport says that an answer which began Age milliseconds ago proved a part sound.
+type soundReport struct {
+	Part Part  `cbor:"1,keyasint"`
+	Age  int64 `cbor:"2,keyasint"`
+}
+
+// verdictReport says that requests with all of the parts are refused. Age is the time since
+// the first crash, in milliseconds.
+type verdictReport struct {
+	Parts []byte `cbor:"1,keyasint"`
+	Age   int64  `cbor:"2,keyasint"`
+}
+
+func newCrashReport(server string, i *interruption) crashReport {
+	r := crashReport{Server: server, Age: age(i.at)}
+	for _, request := range i.requests {
+		r.Requests = append(r.Requests, request.encode())
+	}
+	return r
+}
+
+func age(at time.Time) int64 { return time.Since(at).Milliseconds() }
+
+// since returns the time at which something of an age happened. It is limited to
+// evidenceLifetime ago or lifetime, so that a wrong age has no lasting effect.
+func since(age int64) time.Time {
+	limit := lifetime.Milliseconds()
+	return time.Now().Add(-time.Duration(min(max(age, 0), limit)) * time.Millisecond)
+}
+
+const partBytes = 8
+
+func (s partSet) encode() []byte {
+	out := make([]byte, 0, partBytes*len(s))
+	for _, p := range s {
+		out = binary.BigEndian.AppendUint64(out, uint64(p))
+	}
+	return out
+}
+
+func decodePartSet(in []byte) (partSet, error) {
+	if len(in) == 0 || len(in)%partBytes != 0 || len(in) > maxParts*partBytes {
+		return nil, errors.Errorf("a list of parts has %d bytes", len(in))
+	}
+	var parts []Part
+	for ; len(in) > 0; in = in[partBytes:] {
+		parts = append(parts, Part(binary.BigEndian.Uint64(in)))
+	}
+	return newPartSet(parts), nil
+}
+
+// String returns the ids in hexadecimal, separated by commas.
+func (s partSet) String() string {
+	ids := make([]string, len(s))
+	for i, p := range s {
+		ids[i] = strconv.FormatUint(uint64(p), 16)
+	}
+	return strings.Join(ids, ",")
+}
+
+func (t *Tracker) broadcast(m message) {
+	if len(m.Crashes)+len(m.Alive)+len(m.Sound)+len(m.Verdicts) > 0 {
+		t.Bus.Broadcast(peers.KindPromptCrash, m)
+	}
+}
+
+// handle merges a message from a peer.
+func (t *Tracker) handle(_ context.Context, msg peers.Message) (any, error) {
+	var m message
+	if err := cbor.Unmarshal(msg.Body, &m); err != nil {
+		return nil, errors.Wrap(err, "decode crashes of prompts")
+	}
+	if longest := max(len(m.Crashes), len(m.Alive), len(m.Sound), len(m.Verdicts)); longest > maxPerMessage {
+		return nil, errors.Errorf("%d entries in one message", longest)
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, c := range m.Crashes {
+		if err := t.mergeCrash(c); err != nil {
+			return nil, err
+		}
+	}
+	for _, server := range m.Alive {
+		if c := t.evidence.crashes[server]; c != nil {
+			c.isRefuted = true
+		}
+	}
+	for _, s := range m.Sound {
+		began := since(s.Age)
+		t.evidence.addSound(s.Part, began)
+		t.noteShared(s.Part, began)
+	}
+	for _, v := range m.Verdicts {
+		if err := t.mergeVerdict(v, msg.From); err != nil {
+			return nil, err
+		}
+	}
+	t.changed()
+	return nil, nil
+}
+
+// mergeCrash merges a peer's report on a crash. The caller holds the lock.
+func (t *Tracker) mergeCrash(r crashReport) error {
+	if len(r.Requests) > maxRequestsPerCrash {
+		return errors.Errorf("%d requests at the crash of server %q", len(r.Requests), r.Server)
+	}
+	var requests []partSet
+	for _, encoded := range r.Requests {
+		parts, err := decodePartSet(encoded)
+		if err != nil {
+			return err
+		}
+		requests = append(requests, parts)
+	}
+	t.evidence.addCrash(r.Server, since(r.Age), requests)
+	return nil
+}
+
+// mergeVerdict merges a peer's verdict unless its parts were answered since. The caller
+// holds the lock.
+func (t *Tracker) mergeVerdict(r verdictReport, peer string) error {
+	parts, err := decodePartSet(r.Parts)
+	if err != nil {
+		return err
+	}
+	from := since(r.Age)
+	liftedAt, wasLifted := t.lifted[parts.String()]
+	if wasLifted && !from.After(liftedAt) {
+		return nil
+	}
+	if !slices.ContainsFunc(parts, func(p Part) bool { return t.evidence.soundSince(p, from) }) {
+		t.refuse(parts, from, 0, peer)
+	}
+	return nil
+}
+
+// noteShared records that all instances know a proof of soundness. The caller holds the
+// lock.
+func (t *Tracker) noteShared(p Part, began time.Time) {
+	if began.After(t.shared[p]) {
+		t.shared[p] = began
+	}
+}
+
+// Run judges the evidence and exchanges it with the peers until the context ends.
+func (t *Tracker) Run(ctx context.Context) {
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	isSoon := true
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.wake:
+			if !isSoon {
+				isSoon = true
+				timer.Reset(settleTime)
+			}
+			continue
+		case <-timer.C:
+		}
+		isSoon = false
+		if next := t.round(ctx); next > 0 {
+			timer.Reset(next)
+		}
+	}
+}
+
+// round judges the evidence and sends what the peers need. It returns the time until the
+// next round; zero if none is needed before the next crash.
+func (t *Tracker) round(ctx context.Context) time.Duration {
+	t.mu.Lock()
+	now := time.Now()
+	t.evidence.expire(now)
+	if t.isDirty {
+		t.judge(now)
+	}
+	m, isActive := t.recent(now)
+	next := time.Duration(0)
+	switch {
+	case isActive:
+		next = activeInterval
+	case len(t.verdicts) > 0:
+		next = idleInterval
+	default:
+		clear(t.shared)
+	}
+	if t.isChosen(repeatsPerSecond * next.Seconds()) {
+		for _, v := range t.verdicts {
+			m.Verdicts = append(m.Verdicts, verdictReport{Parts: v.parts.encode(), Age: age(v.from)})
+		}
+	}
+	due := t.dueRecords(now)
+	t.mu.Unlock()
+	t.broadcast(m)
+	t.saveRecords(ctx, due)
+	return next
+}
+
+// recent returns what this instance knows about recent crashes and the peers don't: servers
+// that are alive and parts that are sound. isActive is false if there is no recent crash.
+// The caller holds the lock.
+func (t *Tracker) recent(now time.Time) (m message, isActive bool) {
+	wanted := make(map[Part]struct{})
+	newest := time.Duration(math.MaxInt64)
+	for server, c := range t.evidence.crashes {
+		if c.isRefuted || now.Sub(c.at) > activeTime {
+			continue
+		}
+		isActive = true
+		newest = min(newest, now.Sub(c.at))
+		if len(m.Alive) < maxPerMessage && t.isAlive(server, c.at) {
+			c.isRefuted = true
+			t.isDirty = true
+			m.Alive = append(m.Alive, server)
+			continue
+		}
+		for _, request := range c.requests {
+			for _, p := range request {
+				if !t.evidence.isAccused(p, c) && t.shared[p].Before(c.at.Add(-immunity)) {
+					wanted[p] = struct{}{}
+				}
+			}
+		}
+	}
+	for _, v := range t.verdicts {
+		for _, p := range v.parts {
+			if t.evidence.soundSince(p, v.from) && t.shared[p].Before(v.from) {
+				wanted[p] = struct{}{}
+			}
+		}
+	}
+	if len(wanted) == 0 || !t.isChosen(roundSenders*math.Pow(senderGrowth, float64(newest/activeInterval))) {
+		return m, isActive
+	}
+	for _, p := range slices.Sorted(maps.Keys(wanted)) {
+		if began, ok := t.evidence.sound.Peek(p); ok && len(m.Sound) < maxPerMessage {
+			m.Sound = append(m.Sound, soundReport{Part: p, Age: age(began)})
+			t.noteShared(p, began)
+		}
+	}
+	return m, isActive
+}
+
+// isAlive reports whether a request of this instance received something from a server after
+// its presumed crash. The caller holds the lock.
+func (t *Tracker) isAlive(server string, crashedAt time.Time) bool {
+	for a := range t.inFlight[server] {
+		if a.sentAt.Before(crashedAt) && a.receivedSince(crashedAt.Add(aliveMargin)) {
+			return true
+		}
+	}
+	return false
+}
+
+// isChosen reports whether this instance is one of the expected number of instances that
+// are drawn for something. The caller holds the lock.
+func (t *Tracker) isChosen(expected float64) bool {
+	return t.rng.Float64()*float64(max(t.FleetSize(), 1)) < expected
+}
