backend: An event counts only with its closing blank line

A stream that ended inside an event looked complete on the product's own API: a last chunk without its blank line was handed out, and a cut terminal event ended the stream as complete. Bytes are now an event only once the blank line has come.

--- a/internal/backend/chat.go
+++ b/internal/backend/chat.go
@@ -115,6 +115,8 @@
 	server     string
 	attemptID  string
 	nextOffset int
+	// data is the data of the event that is being read.
+	data []byte
 	// Dropped is the number of chunks skipped as duplicates or as belonging to
 	// another attempt.
 	Dropped int
@@ -157,10 +159,16 @@
 // are dropped; a missing chunk is an error.
 func (s *Stream) Next() (*Chunk, error) {
 	for s.lines.Scan() {
-		data, ok := bytes.CutPrefix(s.lines.Bytes(), []byte("data: "))
-		if !ok {
+		if data, ok := bytes.CutPrefix(s.lines.Bytes(), []byte("data: ")); ok {
+			s.data = append(s.data[:0], data...)
 			continue
 		}
+		// Only a blank line completes an event; without it the stream was cut off.
+		if len(s.lines.Bytes()) > 0 || len(s.data) == 0 {
+			continue
+		}
+		data := s.data
+		s.data = s.data[:0]
 		if string(data) == "[DONE]" {
 			return nil, ErrStreamEnd
 		}
