dispatch: LIMIT holds on every path of a simulated fleet

Proof of the limits that servers name on the present code: first attempts, escalations, repeats and resumed streams of 9 and 24 instances, while servers crash, instances restart or are cut off from each other.

--- a/internal/dispatch/deadlyfleet_test.go
+++ b/internal/dispatch/deadlyfleet_test.go
@@ -16,6 +16,7 @@
 	"github.com/basilrail/basilrail/internal/peers/membus"
 	"github.com/basilrail/basilrail/internal/poison"
 	"github.com/basilrail/basilrail/internal/quarantine"
+	"github.com/basilrail/basilrail/internal/requestlimit"
 	"github.com/basilrail/basilrail/internal/retry"
 	"github.com/basilrail/basilrail/internal/routing"
 	"github.com/basilrail/basilrail/internal/storefeed"
@@ -73,10 +74,27 @@
 // simServer is a process of a backend server.
 type simServer struct {
 	id string
+	// limit is the requests per second that its answers name; zero for none. namedAt is
+	// when it first did, toldAt when each instance received such an answer.
+	limit   float64
+	namedAt time.Time
+	toldAt  map[string]time.Time
+	// arrivals are the requests that it got.
+	arrivals []simArrival
 	// crashed is closed at the end of the process.
 	crashed chan struct{}
 }
 
+func newSimServer(id string) *simServer {
+	return &simServer{id: id, toldAt: make(map[string]time.Time), crashed: make(chan struct{})}
+}
+
+// simArrival is a request that reached a server from an instance.
+type simArrival struct {
+	at       time.Time
+	instance string
+}
+
 // simOutcome is what happened to a request without a deadly part.
 type simOutcome struct {
 	arrived time.Time
@@ -97,10 +115,10 @@
 	for range servers {
 		f.next++
 		id := fmt.Sprint("s", f.next)
-		f.servers[id] = &simServer{id: id, crashed: make(chan struct{})}
+		f.servers[id] = newSimServer(id)
 	}
 	for i := range instances {
-		f.instances = append(f.instances, f.newInstance(fmt.Sprint("i", i)))
+		f.instances = append(f.instances, f.newInstance(simName(i)))
 	}
 	return f
 }
@@ -133,15 +151,32 @@
 	guard := poison.New(poison.Options{Bus: bus, FleetSize: func() int { return f.size }, Records: f.records, Seed: seed})
 	go guard.Run(ctx)
 	go f.records.follow(ctx, guard)
+	limits := requestlimit.New(requestlimit.Options{
+		Bus: bus, Fleet: set, Others: func() ([]string, bool) { return f.others(name), true }, Clock: f.records.Now,
+	})
 	d := New(Options{
 		Poison:  guard,
-		Routing: state, Fleet: set, Transport: &simTransport{fleet: f}, Releases: noReleases{}, Disconnects: tracker, Limits: noLimits{},
+		Routing: state, Fleet: set, Transport: &simTransport{fleet: f, instance: name, limits: limits}, Releases: noReleases{},
+		Disconnects: tracker, Limits: limits,
 		Budgets:       retry.NewBudgets(retry.Limit{Ratio: 0.9, Slack: 100, Window: 10 * time.Second}, func() int { return 1 }),
 		FailureDomain: "here", Seed: seed, Metrics: metrics.New(metrics.Sources{}),
 	})
 	return &simInstance{name: name, d: d, stop: stop}
 }
 
+// others returns the names of the other instances.
+func (f *simFleet) others(name string) []string {
+	var names []string
+	for i := range f.size {
+		if other := simName(i); other != name {
+			names = append(names, other)
+		}
+	}
+	return names
+}
+
+func simName(i int) string { return fmt.Sprint("i", i) }
+
 // close ends the background work of all instances.
 func (f *simFleet) close() {
 	for _, i := range f.instances {
@@ -178,7 +213,7 @@
 		f.mu.Lock()
 		f.next++
 		id := fmt.Sprint("s", f.next)
-		f.servers[id] = &simServer{id: id, crashed: make(chan struct{})}
+		f.servers[id] = newSimServer(id)
 		f.mu.Unlock()
 		f.each(func(set *fleet.Set) { set.Put(simRegistration(id)) })
 	})
@@ -275,9 +310,27 @@
 	}
 }
 
-// simTransport is the Transport of all instances.
+// simTransport is the Transport of an instance.
 type simTransport struct {
-	fleet *simFleet
+	fleet    *simFleet
+	instance string
+	limits   *requestlimit.Limits
+}
+
+// noteLimit passes on the limit that the answer of a server names.
+func (t *simTransport) noteLimit(a *Attempt, server *simServer) {
+	t.fleet.mu.Lock()
+	limit := server.limit
+	if _, told := server.toldAt[t.instance]; !told && limit > 0 {
+		if len(server.toldAt) == 0 {
+			server.namedAt = time.Now()
+		}
+		server.toldAt[t.instance] = time.Now()
+	}
+	t.fleet.mu.Unlock()
+	if limit > 0 {
+		t.limits.Named(a.Server, limit)
+	}
 }
 
 // Send implements Transport.
@@ -288,6 +341,9 @@
 	server, ok := f.servers[a.Server.ID]
 	delay := simPrefill + time.Duration(f.rng.Int64N(int64(simPrefill)))
 	events, confidence := 5+f.rng.IntN(30), f.rng.IntN(100)
+	if ok {
+		server.arrivals = append(server.arrivals, simArrival{at: time.Now(), instance: t.instance})
+	}
 	if ok && deadly != 0 {
 		f.sends[deadly] = append(f.sends[deadly], time.Now())
 	}
@@ -310,6 +366,7 @@
 		f.mu.Unlock()
 	}
 	a.Server.RecordReceived()
+	t.noteLimit(a, server)
 	return answer, nil
 }
 
