--- /dev/null
+++ b/internal/dispatch/norace_test.go
@@ -0,0 +1,6 @@
+//go:build !race
+
+package dispatch
+
+// largestFleet is the number of instances of the largest simulated fleet.
+const largestFleet = 1200
--- /dev/null
+++ b/internal/dispatch/race_test.go
@@ -0,0 +1,7 @@
+//go:build race
+
+package dispatch
+
+// largestFleet is the number of instances of the largest simulated fleet. The race detector
+// makes one of 1,200 take minutes.
+const largestFleet = 195
