poison: A verdict leaves answers in progress alone

A verdict cancelled all attempts with its parts, also answers that servers had been writing for seconds and that therefore can't crash them: had the verdict been wrong, callers would have lost sound answers. Found by reading. TestVerdictLeavesAnswersInProgress failed before ('cancelled').

--- a/internal/poison/evidence_test.go
+++ b/internal/poison/evidence_test.go
@@ -292,3 +292,24 @@
 		}
 	})
 }
+
+// TestVerdictLeavesAnswersInProgress guards against answers that are broken off although
+// their server has written them for so long that they can't crash it.
+func TestVerdictLeavesAnswersInProgress(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		a := newTracker(membus.New(), "i0")
+		go a.Run(t.Context())
+		parts := []Part{first, subject, guilty}
+		longer := a.Begin("other", parts, func() { t.Error("cancelled") })
+		longer.Received()
+		time.Sleep(2 * soundAfter)
+		longer.Received()
+		time.Sleep(2 * immunity)
+		for i := range answeredPartCrashes {
+			crashServer(a, fmt.Sprint("s", i), parts, false)
+		}
+		_, refused, _ := a.Refused(parts)
+		require.True(t, refused)
+		assert.False(t, longer.WasRefused())
+	})
+}
--- a/internal/poison/poison.go
+++ b/internal/poison/poison.go
@@ -117,7 +117,7 @@
 	// headAt is when the head of the answer arrived; zero before.
 	headAt time.Time
 	// isSound is set once the answer has proved the parts sound.
-	isSound bool
+	isSound atomic.Bool
 	cancel  context.CancelFunc
 	// receivedAt is when bytes last arrived, in nanoseconds since sentAt.
 	receivedAt atomic.Int64
@@ -176,13 +176,13 @@
 		a.headAt = now
 		return
 	}
-	if !a.isSound && now.Sub(a.headAt) >= soundAfter {
+	if !a.isSound.Load() && now.Sub(a.headAt) >= soundAfter {
 		a.proveSound()
 	}
 }
 
 func (a *Attempt) proveSound() {
-	a.isSound = true
+	a.isSound.Store(true)
 	a.tracker.mu.Lock()
 	defer a.tracker.mu.Unlock()
 	for _, p := range a.parts {
@@ -201,7 +201,7 @@
 	if a == nil {
 		return
 	}
-	if !a.isSound && !a.headAt.IsZero() {
+	if !a.isSound.Load() && !a.headAt.IsZero() {
 		a.proveSound()
 	}
 	a.Ended()
@@ -234,7 +234,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.remove(a)
-	if a.isSound || (!a.headAt.IsZero() && time.Since(a.headAt) >= accusedFor) {
+	if a.isSound.Load() || (!a.headAt.IsZero() && time.Since(a.headAt) >= accusedFor) {
 		return
 	}
 	i := t.interrupted[a.server]
@@ -322,11 +322,11 @@
 }
 
 // cancelInFlight ends the attempts that a verdict refuses, before their servers begin to
-// answer. The caller holds the lock.
+// answer. Answers that go on in spite of it are left. The caller holds the lock.
 func (t *Tracker) cancelInFlight(v *verdict) {
 	for _, attempts := range t.inFlight {
 		for a := range attempts {
-			if a.parts.containsAll(v.parts) {
+			if !a.isSound.Load() && a.parts.containsAll(v.parts) {
 				a.isRefused.Store(true)
 				a.cancel()
 			}
