--- /dev/null
+++ b/internal/dispatch/simserver_test.go
@@ -0,0 +1,121 @@
+package dispatch
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/basilrail/basilrail/internal/requestlimit"
+	"github.com/basilrail/basilrail/internal/retry"
+)
+
+// simTransport is the Transport of an instance.
+type simTransport struct {
+	fleet    *simFleet
+	instance string
+	limits   *requestlimit.Limits
+}
+
+// noteLimit passes on the limit that the answer of a server names.
+func (t *simTransport) noteLimit(a *Attempt, server *simServer) {
+	t.fleet.mu.Lock()
+	limit := server.limit
+	if _, told := server.toldAt[t.instance]; !told && limit > 0 {
+		if len(server.toldAt) == 0 {
+			server.namedAt = time.Now()
+		}
+		server.toldAt[t.instance] = time.Now()
+	}
+	t.fleet.mu.Unlock()
+	if limit > 0 {
+		t.limits.Named(a.Server, limit)
+	}
+}
+
+// Send implements Transport.
+func (t *simTransport) Send(ctx context.Context, a *Attempt) (Answer, error) {
+	f := t.fleet
+	deadly := f.deadlyPartOf(a.Request.Prompt)
+	f.mu.Lock()
+	server, ok := f.servers[a.Server.ID]
+	delay := simPrefill + time.Duration(f.rng.Int64N(int64(simPrefill)))
+	events, confidence := 5+f.rng.IntN(30), f.rng.IntN(100)
+	if ok {
+		server.arrivals = append(server.arrivals, simArrival{at: time.Now(), instance: t.instance})
+	}
+	if ok && deadly != 0 {
+		f.sends[deadly] = append(f.sends[deadly], time.Now())
+	}
+	f.mu.Unlock()
+	if !ok {
+		return nil, NewSendError(retry.OutcomeConnectFailed, errTest)
+	}
+	outcome, _ := ctx.Value(simRequestKey{}).(*simOutcome)
+	isFirst := f.countAttempt(outcome)
+	answer := &simAnswer{ctx: ctx, server: server, attempt: a, events: events, head: Head{Status: http.StatusOK, Stream: true, Confidence: confidence}}
+	if err := answer.sleep(delay); err != nil {
+		return nil, err
+	}
+	if deadly != 0 {
+		time.AfterFunc(simCrashDelay, func() { f.crash(server.id, deadly) })
+	}
+	if isFirst {
+		f.mu.Lock()
+		outcome.began = true
+		f.mu.Unlock()
+	}
+	a.Server.RecordReceived()
+	t.noteLimit(a, server)
+	return answer, nil
+}
+
+// countAttempt counts an attempt of a sound request and reports whether it is the first one.
+func (f *simFleet) countAttempt(o *simOutcome) bool {
+	if o == nil {
+		return false
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	o.attempts++
+	return o.attempts == 1
+}
+
+// simAnswer is a stream of a simulated server.
+type simAnswer struct {
+	ctx     context.Context
+	server  *simServer
+	attempt *Attempt
+	head    Head
+	events  int
+}
+
+// sleep waits for the server; it returns an error if the server crashes or the context ends.
+func (s *simAnswer) sleep(d time.Duration) error {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-s.server.crashed:
+		return NewSendError(retry.OutcomeDisconnected, errTest)
+	case <-s.ctx.Done():
+		return NewSendError(retry.OutcomeCallerGone, s.ctx.Err())
+	case <-timer.C:
+		return nil
+	}
+}
+
+func (s *simAnswer) Head() Head            { return s.head }
+func (s *simAnswer) Body() ([]byte, error) { return nil, errTest }
+func (s *simAnswer) Close()                {}
+
+func (s *simAnswer) Next() (Event, error) {
+	if s.events == 0 {
+		return Event{}, io.EOF
+	}
+	if err := s.sleep(simEventGap); err != nil {
+		return Event{}, err
+	}
+	s.events--
+	s.attempt.Server.RecordReceived()
+	return Event{ID: "1", Raw: []byte("x")}, nil
+}
