--- a/internal/dispatch/limitfleet_test.go
+++ b/internal/dispatch/limitfleet_test.go
@@ -13,11 +13,12 @@
 // The users' rule for the limits that servers name.
 const (
 	// limitWindow is the time in which a server may get limitFactor times its limit, and
-	// limitExtra requests more, from instances that passed on such an answer told before.
-	limitWindow = 4 * time.Second
-	limitFactor = 1.5
-	limitExtra  = 5
-	told        = 500 * time.Millisecond
+	// limitExtra requests more, from instances that passed on an answer which named the
+	// limit at least limitKnownAfter before.
+	limitWindow     = 4 * time.Second
+	limitFactor     = 1.5
+	limitExtra      = 5
+	limitKnownAfter = 500 * time.Millisecond
 )
 
 // checkLimit checks that a server got no more than it named.
@@ -26,7 +27,7 @@
 	var counted []time.Time
 	for _, a := range s.arrivals {
 		at, isTold := s.toldAt[a.instance]
-		if isTold && a.at.Sub(at) >= told && a.at.Sub(s.namedAt) >= contactTime {
+		if isTold && a.at.Sub(at) >= limitKnownAfter && a.at.Sub(s.namedAt) >= contactTime {
 			counted = append(counted, a.at)
 		}
 	}
--- a/internal/poison/messages.go
+++ b/internal/poison/messages.go
@@ -113,10 +113,13 @@
 	return newPartSet(parts), nil
 }
 
-// String returns the ids in hexadecimal, separated by commas.
-func (s partSet) String() string {
-	ids := make([]string, len(s))
-	for i, p := range s {
+// String returns the parts as FormatParts does.
+func (s partSet) String() string { return FormatParts(s) }
+
+// FormatParts returns the ids of parts in hexadecimal, separated by commas.
+func FormatParts(parts []Part) string {
+	ids := make([]string, len(parts))
+	for i, p := range parts {
 		ids[i] = strconv.FormatUint(uint64(p), 16)
 	}
 	return strings.Join(ids, ",")
