--- a/internal/billing/ledger_test.go
+++ b/internal/billing/ledger_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/basilrail/basilrail/internal/bubble"
 	"github.com/basilrail/basilrail/internal/peers/membus"
 	"github.com/basilrail/basilrail/internal/settings"
 	"github.com/basilrail/basilrail/internal/tablestore"
@@ -164,7 +165,7 @@
 	}
 	for _, test := range tests {
 		t.Run(test.desc, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
+			bubble.Test(t, func(t *testing.T) {
 				f := newFleet(t)
 				owner := f.instances[0]
 				if test.before != nil {
@@ -183,7 +184,7 @@
 }
 
 func TestDurableOnlyInOtherFailureDomainOrTableService(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		f := newFleet(t)
 		f.instances = append(f.instances, f.start("e9", "hall-0"))
 		f.network.SetPartitioned("e1", true)
@@ -204,7 +205,7 @@
 }
 
 func TestTenMinuteOutageBoundsMemoryAndRefusesNewWork(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		f := newFleet(t)
 		f.table.SetFaults(memtable.Faults{Down: true})
 		owner := f.instances[0]
@@ -234,7 +235,7 @@
 }
 
 func TestSlowPeerDoesNotDelayTheOther(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		f := newFleet(t)
 		f.instances[1].held.mu.Lock() // blocks its message handler
 		defer f.instances[1].held.mu.Unlock()
@@ -246,7 +247,7 @@
 }
 
 func TestDuplicateRecordIsBilledOnce(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		f := newFleet(t)
 		require.NoError(t, f.instances[0].Record(t.Context(), bill(0)))
 		time.Sleep(3 * time.Second)
@@ -275,7 +276,7 @@
 	}
 	for _, test := range tests {
 		t.Run(test.desc, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
+			bubble.Test(t, func(t *testing.T) {
 				f := newFleet(t)
 				owner := f.instances[0]
 				f.table.SetFaults(memtable.Faults{Down: test.down})
@@ -299,7 +300,7 @@
 }
 
 func TestListPages(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		f := newFleet(t)
 		for i := range 10 {
 			require.NoError(t, f.instances[i%3].Record(t.Context(), bill(i)))
--- /dev/null
+++ b/internal/bubble/race.go
@@ -0,0 +1,5 @@
+//go:build race
+
+package bubble
+
+const isRaceEnabled = true
--- a/internal/claim/service_test.go
+++ b/internal/claim/service_test.go
@@ -9,11 +9,11 @@
 	"strconv"
 	"sync"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/basilrail/basilrail/internal/bubble"
 	"github.com/basilrail/basilrail/internal/tablestore"
 	"github.com/basilrail/basilrail/internal/tablestore/groupcommit"
 	"github.com/basilrail/basilrail/internal/tablestore/memtable"
@@ -97,7 +97,7 @@
 	first, _ := strconv.ParseUint(os.Getenv(firstSeedVariable), 10, 64)
 	for seed := first; seed < first+raceSeeds; seed++ {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) { newRace(t, seed).run() })
+			bubble.Test(t, func(t *testing.T) { newRace(t, seed).run() })
 		})
 	}
 }
@@ -190,7 +190,7 @@
 }
 
 func TestConcurrentAcquireHasOneOwner(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
 		defer cancel()
 		table := memtable.New()
@@ -228,7 +228,7 @@
 	}
 	for _, test := range tests {
 		t.Run(test.desc, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
+			bubble.Test(t, func(t *testing.T) {
 				ctx, cancel := context.WithCancel(t.Context())
 				defer cancel()
 				table := memtable.New()
@@ -250,7 +250,7 @@
 }
 
 func TestStoreOutageReturnsUnavailableImmediately(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
 		defer cancel()
 		table := memtable.New()
@@ -266,7 +266,7 @@
 }
 
 func TestLostAnswerIsResolvedByRead(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
 		defer cancel()
 		table := memtable.New()
@@ -278,7 +278,7 @@
 }
 
 func TestDelayedOutcomeIsRecordedAndFlushedOnClose(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
 		defer cancel()
 		table := memtable.New()
--- a/internal/configsync/fleet_test.go
+++ b/internal/configsync/fleet_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/basilrail/basilrail/internal/bubble"
 	"github.com/basilrail/basilrail/internal/peers/membus"
 	"github.com/basilrail/basilrail/internal/settings"
 	"github.com/basilrail/basilrail/internal/tablestore"
@@ -162,7 +163,7 @@
 // inBubble runs a test with a fleet in a synctest bubble.
 func inBubble(t *testing.T, size int, test func(t *testing.T, f *fleet)) {
 	t.Helper()
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		f := newFleet(size)
 		defer f.stop()
 		f.setUp(t)
--- a/internal/configsync/model_test.go
+++ b/internal/configsync/model_test.go
@@ -7,12 +7,12 @@
 	"os"
 	"sync"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/pkg/errors"
 	"pgregory.net/rapid"
 
+	"github.com/basilrail/basilrail/internal/bubble"
 	"github.com/basilrail/basilrail/internal/settings"
 	"github.com/basilrail/basilrail/internal/tablestore"
 	"github.com/basilrail/basilrail/internal/tablestore/memtable"
@@ -80,7 +80,7 @@
 	rapid.Check(t, func(rt *rapid.T) {
 		steps := drawSteps(rt)
 		var problems []string
-		synctest.Test(t, func(t *testing.T) { problems = runModel(t, steps) })
+		bubble.Test(t, func(t *testing.T) { problems = runModel(t, steps) })
 		for _, problem := range problems {
 			rt.Error(problem)
 		}
--- a/internal/configsync/scale_test.go
+++ b/internal/configsync/scale_test.go
@@ -17,6 +17,7 @@
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 
+	"github.com/basilrail/basilrail/internal/bubble"
 	"github.com/basilrail/basilrail/internal/peers"
 	"github.com/basilrail/basilrail/internal/peers/membus"
 	"github.com/basilrail/basilrail/internal/tablestore"
@@ -148,7 +149,7 @@
 func TestFleetStaysWithinItsBudgets(t *testing.T) {
 	for _, size := range fleetSizes(t) {
 		t.Run(fmt.Sprintf("instances=%d", size), func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
+			bubble.Test(t, func(t *testing.T) {
 				f := newSparseFleet(t, size, 8)
 				defer f.stop()
 				f.runChanges(t)
@@ -234,7 +235,7 @@
 	}
 	for _, tc := range testCases {
 		t.Run(tc.desc, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
+			bubble.Test(t, func(t *testing.T) {
 				f := newSparseFleet(t, size, 8)
 				defer f.stop()
 				tc.fault(t, f)
@@ -247,7 +248,7 @@
 }
 
 func TestNoCommitWithoutAWitness(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		f := newSparseFleet(t, 40, 8)
 		defer f.stop()
 		ranked := f.ranked()
--- a/internal/dispatch/deadlyparts_test.go
+++ b/internal/dispatch/deadlyparts_test.go
@@ -5,11 +5,12 @@
 	"os"
 	"strconv"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+
+	"github.com/basilrail/basilrail/internal/bubble"
 )
 
 // The users' rules for parts of prompts that crash servers.
@@ -113,7 +114,7 @@
 		{largestFleet, 60, 200, 0.02, 8 * time.Second},
 	} {
 		t.Run(fmt.Sprintf("%d instances, share %g", c.instances, c.share), func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
+			bubble.Test(t, func(t *testing.T) {
 				f := newSimFleet(c.instances, c.servers, 1, deadlyPart)
 				defer f.close()
 				f.load(3*time.Second, c.rate, 0)
@@ -170,7 +171,7 @@
 	} {
 		for seed := range faultSeeds() {
 			t.Run(fmt.Sprintf("%s, seed %d", c.name, seed), func(t *testing.T) {
-				synctest.Test(t, func(t *testing.T) {
+				bubble.Test(t, func(t *testing.T) {
 					f := newSimFleet(9, 18, seed, c.deadly...)
 					defer f.close()
 					f.load(3*time.Second, 60, 0)
@@ -190,7 +191,7 @@
 func TestOtherCrashesRefuseNoPart(t *testing.T) {
 	for seed := range faultSeeds() {
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
+			bubble.Test(t, func(t *testing.T) {
 				f := newSimFleet(9, 18, seed)
 				defer f.close()
 				go func() {
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -7,7 +7,6 @@
 	"strconv"
 	"sync"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/pkg/errors"
@@ -16,6 +15,7 @@
 
 	"github.com/basilrail/basilrail/internal/apierror"
 	"github.com/basilrail/basilrail/internal/bootclock"
+	"github.com/basilrail/basilrail/internal/bubble"
 	"github.com/basilrail/basilrail/internal/fleet"
 	"github.com/basilrail/basilrail/internal/metrics"
 	"github.com/basilrail/basilrail/internal/modeltier"
@@ -298,7 +298,7 @@
 }
 
 func TestRouteTimeoutEndsTheRequest(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		b := newSetup(func(ctx context.Context, _ *Attempt) (Answer, error) {
 			<-ctx.Done()
 			return nil, NewSendError(retry.OutcomeTimeout, ctx.Err())
--- a/internal/dispatch/limitfleet_test.go
+++ b/internal/dispatch/limitfleet_test.go
@@ -3,11 +3,12 @@
 import (
 	"fmt"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+
+	"github.com/basilrail/basilrail/internal/bubble"
 )
 
 // The users' rule for the limits that servers name.
@@ -70,7 +71,7 @@
 		for _, size := range []int{9, 24} {
 			for seed := range max(faultSeeds()/defaultFaultSeeds, 1) {
 				t.Run(fmt.Sprintf("%s, %d instances, seed %d", name, size, seed), func(t *testing.T) {
-					synctest.Test(t, func(t *testing.T) {
+					bubble.Test(t, func(t *testing.T) {
 						f := newSimFleet(size, 2*size, seed)
 						defer f.close()
 						f.load(2*time.Second, 60, 0)
--- a/internal/dispatch/pause_test.go
+++ b/internal/dispatch/pause_test.go
@@ -11,6 +11,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/basilrail/basilrail/internal/apierror"
+	"github.com/basilrail/basilrail/internal/bubble"
 	"github.com/basilrail/basilrail/internal/fleet"
 	"github.com/basilrail/basilrail/internal/retry"
 )
@@ -61,7 +62,7 @@
 }
 
 func TestRequestThatCannotWaitForThePauseIsRefusedAtOnce(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		b := newSetup()
 		b.pauseAll("web", 3*time.Second)
 		began := time.Now()
@@ -79,7 +80,7 @@
 // TestRequestsWaitForThePauseInOrder covers servers that shed a burst: the requests that
 // can be served after the pause keep their order and do not return all at once.
 func TestRequestsWaitForThePauseInOrder(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		const pause = 600 * time.Millisecond
 		b := newSetup()
 		var mu sync.Mutex
@@ -120,7 +121,7 @@
 // TestWaitingRequestsAreRefusedWhenThePauseIsExtended: no request is held that can no
 // longer be served in time.
 func TestWaitingRequestsAreRefusedWhenThePauseIsExtended(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		b := newSetup()
 		b.pauseAll("web", 500*time.Millisecond)
 		began := time.Now()
@@ -140,7 +141,7 @@
 }
 
 func TestCallerThatLeavesWhileWaitingFreesItsPlace(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		b := newSetup(answers(200, "ok"))
 		b.pauseAll("web", 500*time.Millisecond)
 		ctx, cancel := context.WithCancel(t.Context())
--- a/internal/entry/fleet_test.go
+++ b/internal/entry/fleet_test.go
@@ -20,6 +20,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/basilrail/basilrail/internal/apierror"
+	"github.com/basilrail/basilrail/internal/bubble"
 	"github.com/basilrail/basilrail/internal/events"
 	"github.com/basilrail/basilrail/internal/memnet"
 	"github.com/basilrail/basilrail/internal/settings"
@@ -160,7 +161,7 @@
 // backend servers of the lagos-main example, whose settings are in effect.
 func inFleet(t *testing.T, size int, test func(f *fleet)) {
 	t.Helper()
-	synctest.Test(t, func(*testing.T) {
+	bubble.Test(t, func(*testing.T) {
 		f := newFleet(t)
 		defer f.close()
 		f.startBackends(exampleDocs(t))
--- a/internal/fifo/fifo_test.go
+++ b/internal/fifo/fifo_test.go
@@ -6,12 +6,14 @@
 	"time"
 
 	"github.com/stretchr/testify/assert"
+
+	"github.com/basilrail/basilrail/internal/bubble"
 )
 
 // TestCallersFollowInOrderAndSpaced covers the end of a pause for which many requests
 // waited.
 func TestCallersFollowInOrderAndSpaced(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		const spacing = 10 * time.Millisecond
 		q := New(spacing)
 		var order []int
@@ -50,7 +52,7 @@
 // TestFrontThatLeavesEarlyLetsTheNextFollow covers a caller that leaves during the
 // spacing before it.
 func TestFrontThatLeavesEarlyLetsTheNextFollow(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		q := New(time.Second)
 		first, second, third := q.Join(), q.Join(), q.Join()
 		first.Leave()
--- a/internal/fleet/departures_test.go
+++ b/internal/fleet/departures_test.go
@@ -2,11 +2,12 @@
 
 import (
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+
+	"github.com/basilrail/basilrail/internal/bubble"
 )
 
 const uncertainFor = 2 * time.Second
@@ -46,7 +47,7 @@
 		"in the same era": {func(*Set) {}, inEra(registration("a"), 1), true, true},
 	} {
 		t.Run(name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
+			bubble.Test(t, func(t *testing.T) {
 				s := NewSet("here", nil)
 				s.Put(inEra(registration("a"), 1))
 				s.Remove("a")
@@ -76,7 +77,7 @@
 }
 
 func TestServerMissingFromACopyIsKeptUntilItRegisters(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		s := NewSet("here", nil)
 		s.Put(inEra(registration("a"), 1), inEra(registration("b"), 1))
 		s.MarkMissing("a", uncertainFor)
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -2,11 +2,12 @@
 
 import (
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+
+	"github.com/basilrail/basilrail/internal/bubble"
 )
 
 func registration(id string) Registration {
@@ -57,7 +58,7 @@
 }
 
 func TestMissingServerIsRemovedAfterGracePeriod(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		s := NewSet("here", nil)
 		s.Put(registration("lost"), registration("back"))
 		s.MarkMissing("lost", 2*time.Second)
@@ -102,7 +103,7 @@
 }
 
 func TestUnresponsiveServerIsEjectedUnlessItSentRecently(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		s := NewSet("here", nil)
 		s.Put(registration("a"))
 		server, _ := s.Snapshot().Server("a")
--- a/internal/flowcontrol/controller_test.go
+++ b/internal/flowcontrol/controller_test.go
@@ -9,6 +9,7 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"github.com/basilrail/basilrail/internal/bubble"
 	"github.com/basilrail/basilrail/internal/settings"
 )
 
@@ -50,7 +51,7 @@
 }
 
 func TestAcquireRefusesImmediatelyIfTheDeadlineIsUnreachable(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		c := New()
 		fillWindow(t, c, 1)
 		assert.Zero(t, acquireWithin(t, c, 1500*time.Millisecond), "refused without waiting")
@@ -58,7 +59,7 @@
 }
 
 func TestAcquireTimesOutAtTheLatestUsefulStart(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		c := New()
 		fillWindow(t, c, 1)
 		assert.Equal(t, 3*time.Second, acquireWithin(t, c, 4*time.Second))
@@ -67,7 +68,7 @@
 }
 
 func TestAcquireCancelled(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		c := New()
 		held := fillWindow(t, c, 1)
 		ctx, cancel := context.WithCancel(t.Context())
@@ -88,7 +89,7 @@
 }
 
 func TestAcquireStartsWaitingRequestsWhenTheWindowGrows(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		c := New()
 		result := make(chan error, 1)
 		go func() {
@@ -105,7 +106,7 @@
 }
 
 func TestAcquireNeverExceedsTheWindow(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		const window, requests = 8, 400
 		c := New()
 		c.SetWindow("p", window)
--- a/internal/loadreport/loadreport_test.go
+++ b/internal/loadreport/loadreport_test.go
@@ -9,13 +9,14 @@
 
 	"github.com/stretchr/testify/assert"
 
+	"github.com/basilrail/basilrail/internal/bubble"
 	"github.com/basilrail/basilrail/internal/datastore"
 	"github.com/basilrail/basilrail/internal/fleet"
 	"github.com/basilrail/basilrail/internal/peers/membus"
 )
 
 func TestInstancesExchangeTheirLoad(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
 		network := membus.New()
 		var sets []*fleet.Set
--- a/internal/measure/faults_test.go
+++ b/internal/measure/faults_test.go
@@ -2,9 +2,10 @@
 
 import (
 	"testing"
-	"testing/synctest"
 
 	"github.com/stretchr/testify/assert"
+
+	"github.com/basilrail/basilrail/internal/bubble"
 )
 
 // TestFaultMeasuresMeetTheirTargets runs the failure measures in virtual time; the
@@ -20,7 +21,7 @@
 	}
 	for _, test := range tests {
 		t.Run(test.desc, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
+			bubble.Test(t, func(t *testing.T) {
 				for _, row := range test.run(1) {
 					assert.True(t, row.Pass, "%s: %s, target %s", row.Name, row.Ours, row.Target)
 				}
--- a/internal/membership/membership_test.go
+++ b/internal/membership/membership_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/basilrail/basilrail/internal/bubble"
 	"github.com/basilrail/basilrail/internal/tablestore"
 )
 
@@ -47,7 +48,7 @@
 }
 
 func TestLastViewIsKeptDuringOutage(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		list := &fakeList{members: map[string]tablestore.Member{"s1": {ID: "s1", Kind: tablestore.MemberServer}}}
 		self := tablestore.Member{ID: "e1", Kind: tablestore.MemberEntry}
 		w := New(list, self, rand.New(rand.NewPCG(1, 2)), nil)
--- a/internal/modelcommands/modelcommands_test.go
+++ b/internal/modelcommands/modelcommands_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/basilrail/basilrail/internal/bubble"
 	"github.com/basilrail/basilrail/internal/datastore"
 	"github.com/basilrail/basilrail/internal/settings"
 	"github.com/basilrail/basilrail/internal/tablestore/memtable"
@@ -134,7 +135,7 @@
 // TestLease checks that at most one instance holds the lease, and that the fencing number
 // never decreases and grows with takeovers, despite lost answers and outages of the store.
 func TestLease(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		table := memtable.New()
 		leases := []*Lease{NewLease(table, "a", 1), NewLease(table, "b", 2)}
 		last := uint64(0)
@@ -164,7 +165,7 @@
 // TestLeaseRace checks that exactly one of two instances that find the lease free at
 // the same time gets it.
 func TestLeaseRace(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		table := memtable.New()
 		table.SetFaults(memtable.Faults{Delay: 100 * time.Millisecond})
 		leases := []*Lease{NewLease(table, "a", 1), NewLease(table, "b", 2)}
@@ -187,7 +188,7 @@
 	const n, restoredWithin = 3, 40 * time.Second
 	for _, checks := range []bool{true, false} {
 		t.Run(fmt.Sprint("servers check the fencing number: ", checks), func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
+			bubble.Test(t, func(t *testing.T) {
 				table, e := memtable.New(), newFakeServers(n, checks)
 				client := &http.Client{Transport: e}
 				paused := NewLease(table, "paused", 1)
@@ -232,7 +233,7 @@
 // TestUnloadWaitsForInFlightRequests checks that a withdrawn version is unloaded only
 // after unloadAfter, when no request can be in flight on it.
 func TestUnloadWaitsForInFlightRequests(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		const n = 2
 		e, store := newFakeServers(n, true), newStore(n)
 		for i := range n {
@@ -255,7 +256,7 @@
 // TestFencedHolderStops checks that a holder sends no further commands under its
 // fencing number once a server has refused it.
 func TestFencedHolderStops(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		const n, newer = 2, 100
 		table, e := memtable.New(), newFakeServers(n, true)
 		for i := range n {
--- a/internal/peers/mesh/harness_test.go
+++ b/internal/peers/mesh/harness_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/basilrail/basilrail/internal/bubble"
 	"github.com/basilrail/basilrail/internal/peers"
 )
 
@@ -215,7 +216,7 @@
 
 // run starts a fleet in virtual time, waits until it is connected and runs test.
 func run(t *testing.T, size int, test func(t *testing.T, f *testFleet)) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		f := newTestFleet(t, size)
 		time.Sleep(10 * time.Second)
 		test(t, f)
--- a/internal/poison/evidence_test.go
+++ b/internal/poison/evidence_test.go
@@ -3,13 +3,13 @@
 import (
 	"fmt"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"github.com/basilrail/basilrail/internal/bubble"
 	"github.com/basilrail/basilrail/internal/peers"
 	"github.com/basilrail/basilrail/internal/peers/membus"
 )
@@ -232,7 +232,7 @@
 	parts := []Part{first, subject}
 	for _, seenByPeer := range []bool{false, true} {
 		t.Run(fmt.Sprintf("seen by a peer %t", seenByPeer), func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
+			bubble.Test(t, func(t *testing.T) {
 				network := membus.New()
 				a, b := newTracker(network, "i0"), newTracker(network, "i1")
 				go a.Run(t.Context())
@@ -268,7 +268,7 @@
 // TestAnswerLiftsTheVerdict guards against a verdict that stays although a server answered a
 // request with the part.
 func TestAnswerLiftsTheVerdict(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		network := membus.New()
 		a, b := newTracker(network, "i0"), newTracker(network, "i1")
 		go a.Run(t.Context())
@@ -296,7 +296,7 @@
 // TestVerdictLeavesAnswersInProgress guards against answers that are broken off although
 // their server has written them for so long that they can't crash it.
 func TestVerdictLeavesAnswersInProgress(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		a := newTracker(membus.New(), "i0")
 		go a.Run(t.Context())
 		parts := []Part{first, subject, guilty}
--- a/internal/quarantine/disconnects_test.go
+++ b/internal/quarantine/disconnects_test.go
@@ -3,11 +3,11 @@
 import (
 	"fmt"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/assert"
 
+	"github.com/basilrail/basilrail/internal/bubble"
 	"github.com/basilrail/basilrail/internal/peers/membus"
 )
 
@@ -24,7 +24,7 @@
 }
 
 func TestContentThatDisconnectsServersIsRefusedOnAllInstances(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		fleet := newTrackers(t, 7)
 		ran := 0
 		for n := range 60 {
@@ -48,7 +48,7 @@
 }
 
 func TestSimultaneousDisconnectsCountOnce(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		b := newTrackers(t, 1)[0]
 		started := time.Now()
 		time.Sleep(time.Second)
@@ -60,7 +60,7 @@
 }
 
 func TestCompleteAnswerClearsContentOnAllInstances(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		fleet := newTrackers(t, 3)
 		for i, b := range fleet {
 			b.Disconnected(innocent, servers[i], time.Now())
@@ -77,7 +77,7 @@
 }
 
 func TestContentAnsweredBeforeBroadcastIsNotReported(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		fleet := newTrackers(t, 2)
 		fleet[0].Disconnected(innocent, "s1", time.Now())
 		time.Sleep(100 * time.Millisecond)
@@ -88,7 +88,7 @@
 }
 
 func TestRepeatedDisconnectsOfOneServerCountOnce(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		b := newTrackers(t, 1)[0]
 		for range 10 {
 			b.Disconnected(innocent, "s1", time.Now())
--- a/internal/quarantine/quarantine_test.go
+++ b/internal/quarantine/quarantine_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/basilrail/basilrail/internal/bubble"
 	"github.com/basilrail/basilrail/internal/peers"
 	"github.com/basilrail/basilrail/internal/peers/membus"
 	"github.com/basilrail/basilrail/internal/tablestore"
@@ -74,7 +75,7 @@
 	}
 	for _, test := range tests {
 		t.Run(test.desc, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
+			bubble.Test(t, func(t *testing.T) {
 				f := newFleet(t, 3)
 				require.Len(t, crashOnce(f.instances[0], "s1", culprit, innocent), 2)
 				require.Equal(t, Verdict{Suspect: true, Avoid: []string{"s1"}}, f.instances[2].Check(culprit))
@@ -95,7 +96,7 @@
 
 // A crash reported by several instances, or twice by one, counts once.
 func TestOneCrashCountsOnce(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		f := newFleet(t, 3)
 		for _, q := range f.instances {
 			q.Begin("s1", "p1", innocent, "x")
@@ -112,7 +113,7 @@
 // Two suspects of one crash never run together again, whichever instances send
 // them.
 func TestSuspectsNeverRunTogether(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		f := newFleet(t, 3)
 		crashOnce(f.instances[0], "s1", culprit, innocent)
 		first, err := f.instances[0].Place(t.Context(), culprit, "a", servers)
@@ -148,7 +149,7 @@
 // The grant of a content's slot after a crash includes the crash record, so that
 // the next owner learns of it even if the broadcast is lost.
 func TestSlotGrantIncludesCrashRecord(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		network := membus.New()
 		var instances []*Quarantine
 		for i := range 3 {
@@ -170,7 +171,7 @@
 // While an instance has a suspect in flight on a server, no other suspect is placed
 // there.
 func TestNoSuspectIsPlacedBesideARunningOne(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		f := newFleet(t, 2)
 		f.instances[1].Begin("s2", "p1", innocent, "early")
 		crashOnce(f.instances[0], "s1", culprit, innocent)
@@ -182,7 +183,7 @@
 
 // The slot of a disconnected instance is free after slotTTL.
 func TestSlotExpires(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		f := newFleet(t, 3)
 		content := contentNotDecidedBy(f.instances[0])
 		crashOnce(f.instances[0], "s1", content)
@@ -209,7 +210,7 @@
 // Complete answers clear, on all instances, a content that was in flight at a crash
 // but did not cause it.
 func TestCompleteAnswersClearSuspect(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		f := newFleet(t, 2)
 		crashOnce(f.instances[0], "s1", innocent)
 		for i := range exoneratingSuccesses {
@@ -225,7 +226,7 @@
 }
 
 func TestRecordsAreBoundedAndExpire(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		q := New(Options{Bus: membus.New().Join("entry-0", "a")})
 		crashOnce(q, "s1", culprit)
 		crashOnce(q, "s2", culprit)
--- a/internal/requestlimit/requestlimit_test.go
+++ b/internal/requestlimit/requestlimit_test.go
@@ -4,12 +4,12 @@
 	"fmt"
 	"math/rand/v2"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"github.com/basilrail/basilrail/internal/bubble"
 	"github.com/basilrail/basilrail/internal/fleet"
 	"github.com/basilrail/basilrail/internal/peers/membus"
 )
@@ -100,7 +100,7 @@
 		}
 		for _, limit := range limits {
 			t.Run(fmt.Sprintf("%d instances, %g a second", size, limit), func(t *testing.T) {
-				synctest.Test(t, func(t *testing.T) {
+				bubble.Test(t, func(t *testing.T) {
 					f := newTestFleet(size, uint64(size))
 					for i, l := range f.limits {
 						f.network.SetPartitioned(fmt.Sprint("i", i), true)
@@ -129,7 +129,7 @@
 // TestLimitSpreadsAndEnds checks that a limit reaches the peers with the first answer that
 // names it, and ends with the first that doesn't.
 func TestLimitSpreadsAndEnds(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		f := newTestFleet(9, 1)
 		f.limits[0].Named(f.server(0), 0)
 		for i, l := range f.limits {
@@ -150,7 +150,7 @@
 
 // TestRestartedServerHasNoLimit checks that a limit ends with the process that named it.
 func TestRestartedServerHasNoLimit(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		f := newTestFleet(2, 1)
 		f.limits[0].Named(f.server(0), 0)
 		assert.False(t, f.limits[0].Take(server))
@@ -162,7 +162,7 @@
 // TestNothingIsSentWhileTheShareIsUnknown guards against an instance that starts, knows of
 // no other one yet and takes the limit for its own.
 func TestNothingIsSentWhileTheShareIsUnknown(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		f := newTestFleet(1, 1)
 		f.limits[0].Named(f.server(0), 100)
 		assert.True(t, f.limits[0].Take(server))
--- a/internal/retry/budgets_test.go
+++ b/internal/retry/budgets_test.go
@@ -5,11 +5,12 @@
 	"math/rand/v2"
 	"slices"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+
+	"github.com/basilrail/basilrail/internal/bubble"
 )
 
 // TestRequestsOfOneServiceFundNoRetriesOfAnother guards against retries that pile up at a
@@ -69,7 +70,7 @@
 	} {
 		for seed := range uint64(3) {
 			t.Run(fmt.Sprintf("%d instances, seed %d", fleet.instances, seed), func(t *testing.T) {
-				synctest.Test(t, func(t *testing.T) {
+				bubble.Test(t, func(t *testing.T) {
 					limit := Limit{Ratio: 0.9, Slack: fleet.slack, Window: 10 * time.Second}
 					rng := rand.New(rand.NewPCG(seed, 7))
 					budgets := make([]*Budgets, fleet.instances)
@@ -111,7 +112,7 @@
 // a third of the requests are repeated at a larger model, and a server with ten of them in
 // flight fails now and then.
 func TestSteadyRetriesAreNotDenied(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		b := NewBudgets(Limit{Ratio: 0.9, Slack: 54, Window: 10 * time.Second}, func() int { return 7 })
 		denied := 0
 		for n := range 2000 {
--- a/internal/rollout/controller_test.go
+++ b/internal/rollout/controller_test.go
@@ -8,7 +8,6 @@
 	"strings"
 	"sync"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -16,6 +15,7 @@
 	"github.com/stretchr/testify/require"
 	"go.yaml.in/yaml/v3"
 
+	"github.com/basilrail/basilrail/internal/bubble"
 	"github.com/basilrail/basilrail/internal/events"
 	"github.com/basilrail/basilrail/internal/peers/membus"
 	"github.com/basilrail/basilrail/internal/settings"
@@ -200,7 +200,7 @@
 	}
 	for _, test := range tests {
 		t.Run(test.desc, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
+			bubble.Test(t, func(t *testing.T) {
 				f := newFleet(t, fleetSize, tree(map[string]settings.Rollout{"to-2": rolloutToVersion2(settings.RolloutRunning, 0)}))
 				f.store.setOutcome(test.outcome)
 				answers := f.traffic(20*time.Second, test.perSecond, map[string]float64{"2": 0.5})
@@ -222,7 +222,7 @@
 // A good rollout passes every stage exactly once, although most instances stop during
 // it.
 func TestGoodRolloutCompletesAlthoughInstancesStop(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		f := newFleet(t, fleetSize, tree(map[string]settings.Rollout{"to-2": rolloutToVersion2(settings.RolloutRunning, 0)}))
 		for i := range fleetSize - 2 {
 			f.traffic(20*time.Second, 50, map[string]float64{"1": 0.02, "2": 0.02})
@@ -250,7 +250,7 @@
 	}
 	for _, test := range tests {
 		t.Run(test.desc, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
+			bubble.Test(t, func(t *testing.T) {
 				f := newFleet(t, 1, tree(map[string]settings.Rollout{"to-2": rolloutToVersion2(settings.RolloutRunning, 0)}))
 				stale := plan{
 					key:   EvidenceKey{Team: "shops", Ref: ref("2"), Rollout: "to-2"},
@@ -291,7 +291,7 @@
 	}
 	for _, test := range tests {
 		t.Run(test.desc, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
+			bubble.Test(t, func(t *testing.T) {
 				f := newFleet(t, fleetSize, tree(test.rollouts))
 				before := f.traffic(time.Minute, 50, map[string]float64{test.version: 0.02})
 				require.Positive(t, before[test.version].Good)
@@ -319,7 +319,7 @@
 // If the team may use no other version, the bad version stays in use and each instance
 // logs that once.
 func TestBadVersionWithoutAlternativeStaysInUse(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		tree := tree(nil)
 		tree.Teams["shops"].Models[model] = settings.TeamModel{Stable: "1", Allowed: []string{"1"}}
 		f := newFleet(t, 3, tree)
--- a/internal/rollout/exchange_test.go
+++ b/internal/rollout/exchange_test.go
@@ -5,11 +5,11 @@
 	"fmt"
 	"math/rand/v2"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/basilrail/basilrail/internal/bubble"
 	"github.com/basilrail/basilrail/internal/peers"
 	"github.com/basilrail/basilrail/internal/peers/membus"
 )
@@ -17,7 +17,7 @@
 // An instance with many keys stays within its rate limit and sends the key that turned
 // bad first.
 func TestEvidenceIsRateLimitedAndBadAnswersAreSentFirst(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		const keys, seconds = 100, 60
 		rows, first := 0, ""
 		network := membus.New()
--- a/internal/serverwatch/watcher_test.go
+++ b/internal/serverwatch/watcher_test.go
@@ -12,13 +12,13 @@
 	"sync"
 	"syscall"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
 	"github.com/basilrail/basilrail/internal/backend"
+	"github.com/basilrail/basilrail/internal/bubble"
 	"github.com/basilrail/basilrail/internal/datastore"
 	"github.com/basilrail/basilrail/internal/peers/membus"
 	"github.com/basilrail/basilrail/internal/settings"
@@ -127,7 +127,7 @@
 // TestReportedVersions checks that a version is routed only to servers that report it as
 // loaded.
 func TestReportedVersions(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		f := newFleet(t, 1, 2)
 		one, two := settings.VersionRef{Model: "writer", Version: "1"}, settings.VersionRef{Model: "writer", Version: "2"}
 		snapshot := f.watchers[0].store.Snapshot
@@ -161,7 +161,7 @@
 	}
 	for _, test := range tests {
 		t.Run(test.desc, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
+			bubble.Test(t, func(t *testing.T) {
 				f := newFleet(t, 9, 20)
 				test.notice(f)
 				f.requireAtAllInstances(t, propagationLimit, "s0", func(s *datastore.Status) bool { return s.Draining })
@@ -181,7 +181,7 @@
 // instances, and up again soon after it has recovered.
 func TestDownServerRecovers(t *testing.T) {
 	const backWithin = 5 * time.Second
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		f := newFleet(t, 9, 20)
 		f.servers.set(3, report{}, syscall.ECONNREFUSED)
 		f.requireAtAllInstances(t, propagationLimit, "s3", func(s *datastore.Status) bool { return s.Down })
@@ -208,7 +208,7 @@
 	}
 	for _, test := range tests {
 		t.Run(test.desc, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
+			bubble.Test(t, func(t *testing.T) {
 				f := newFleet(t, 1, 2)
 				f.servers.set(0, test.report, test.err)
 				const together = 64
@@ -227,7 +227,7 @@
 // TestFailingServerIsEjected checks that a server that reports itself healthy but fails
 // attempts is ejected, for longer each time and never for more than maxEjectionTime.
 func TestFailingServerIsEjected(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		f := newFleet(t, 1, 2)
 		w := f.watchers[0]
 		down := func() bool { return w.store.Snapshot().Servers["s0"].Status().Down }
@@ -260,7 +260,7 @@
 // more servers than it can poll at pollInterval.
 func TestProbeRateIsBounded(t *testing.T) {
 	const servers, seconds = 1000, 60
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		f := newFleet(t, 1, servers)
 		before := f.servers.requestCount()
 		time.Sleep(seconds * time.Second)
--- a/internal/session/session_test.go
+++ b/internal/session/session_test.go
@@ -4,13 +4,13 @@
 	"fmt"
 	"strings"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/golang-jwt/jwt/v5"
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"github.com/basilrail/basilrail/internal/bubble"
 	"github.com/basilrail/basilrail/internal/settings"
 )
 
@@ -37,7 +37,7 @@
 }
 
 func TestTokenIsVerifiedByOtherInstances(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		token := issue(t, newKeyring(t, master))
 		time.Sleep(59 * time.Minute)
 		s, err := newKeyring(t, master).Verify(token, account, keys)
@@ -89,7 +89,7 @@
 	}
 	for _, test := range tests {
 		t.Run(test.desc, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
+			bubble.Test(t, func(t *testing.T) {
 				k := newKeyring(t, master)
 				token := issue(t, k)
 				if test.token != nil {
--- a/internal/standin/engine/engine_test.go
+++ b/internal/standin/engine/engine_test.go
@@ -15,6 +15,7 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"github.com/basilrail/basilrail/internal/bubble"
 	"github.com/basilrail/basilrail/internal/memnet"
 	"github.com/basilrail/basilrail/internal/standin"
 )
@@ -48,7 +49,7 @@
 // runInBubble runs the test body against an engine in virtual time.
 func runInBubble(t *testing.T, cfg Config, body func(f *fixture)) {
 	t.Helper()
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		network := memnet.New()
 		listener, err := network.Listen("engine:80")
 		require.NoError(t, err)
--- a/internal/storefeed/era_test.go
+++ b/internal/storefeed/era_test.go
@@ -11,6 +11,7 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"github.com/basilrail/basilrail/internal/bubble"
 	"github.com/basilrail/basilrail/internal/peers/membus"
 )
 
@@ -159,7 +160,7 @@
 		"over a gap":       {Base: Position{Era: 1, Revision: 5}, Position: Position{Era: 1, Revision: 20}, Gap: true},
 	} {
 		t.Run(name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
+			bubble.Test(t, func(t *testing.T) {
 				f := New(Options{Bus: membus.New().Join("i", "d")})
 				m1 := &member{values: make(map[string]string), changedAt: make(map[string]time.Time)}
 				f.Add(Table{Name: "t", Apply: m1.apply})
@@ -177,7 +178,7 @@
 // TestRestoredTableIsConfirmedOnceItIsSettled: what the operator wrote last may still be
 // missing from a restored store.
 func TestRestoredTableIsConfirmedOnceItIsSettled(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
 		f := startFleet(ctx, 4)
 		var recorded atomic.Uint64
--- a/internal/storefeed/fleet_test.go
+++ b/internal/storefeed/fleet_test.go
@@ -9,6 +9,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/basilrail/basilrail/internal/bubble"
 	"github.com/basilrail/basilrail/internal/peers"
 	"github.com/basilrail/basilrail/internal/peers/membus"
 )
@@ -134,7 +135,7 @@
 }
 
 func withFleet(t *testing.T, n int, test func(t *testing.T, f *testFleet)) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
 		f := startFleet(ctx, n)
 		test(t, f)
--- a/internal/storefeed/start_test.go
+++ b/internal/storefeed/start_test.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/stretchr/testify/assert"
+
+	"github.com/basilrail/basilrail/internal/bubble"
 )
 
 // TestFewReadsAtAStartOfAllInstances covers a start of all instances together, as
@@ -15,7 +17,7 @@
 func TestFewReadsAtAStartOfAllInstances(t *testing.T) {
 	const instances = 200
 	const linksUpAfter = 500 * time.Millisecond
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
 		f := startFleet(ctx, instances)
 		for _, m := range f.members {
--- a/internal/storefeed/storefeed_test.go
+++ b/internal/storefeed/storefeed_test.go
@@ -10,6 +10,8 @@
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+
+	"github.com/basilrail/basilrail/internal/bubble"
 )
 
 func TestFewReadersKeepAllInstancesCurrent(t *testing.T) {
@@ -33,7 +35,7 @@
 // TestRarelyChangingTableHasFewReaders guards against additional readers of a
 // table whose readers broadcast less often.
 func TestRarelyChangingTableHasFewReaders(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
 		f := startFleetOf(ctx, 40, Table{Wait: 5 * time.Second, StaleAfter: 12 * time.Second})
 		time.Sleep(20 * time.Second)
@@ -69,7 +71,7 @@
 // TestInstancesWithoutPeersReadTheStore covers a start, when no peer is connected
 // yet.
 func TestInstancesWithoutPeersReadTheStore(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
 		f := startFleetOf(ctx, 10, Table{ListsPeers: true, Wait: 5 * time.Second, StaleAfter: 12 * time.Second})
 		for _, m := range f.members {
@@ -278,7 +280,7 @@
 }
 
 func TestDelayedMessageDoesNotLookFresh(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
 		f := startFleet(ctx, 1)
 		time.Sleep(5 * time.Second)
--- a/internal/tablestore/commitrelay/relay_test.go
+++ b/internal/tablestore/commitrelay/relay_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/basilrail/basilrail/internal/bubble"
 	"github.com/basilrail/basilrail/internal/peers/membus"
 	"github.com/basilrail/basilrail/internal/tablestore"
 	"github.com/basilrail/basilrail/internal/tablestore/groupcommit"
@@ -68,7 +69,7 @@
 
 func TestBudgetsAddUpToFleetRate(t *testing.T) {
 	for _, size := range []int{1, 9, maxDirectInstances, maxDirectInstances + 1, 1200} {
-		synctest.Test(t, func(t *testing.T) {
+		bubble.Test(t, func(t *testing.T) {
 			f := newFleet(t.Context(), 0)
 			for i := range size {
 				f.ids = append(f.ids, fmt.Sprint(i))
@@ -85,7 +86,7 @@
 }
 
 func TestLargeFleetCommitsThroughCollectors(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
 		defer cancel()
 		f := newFleet(ctx, 300)
@@ -99,7 +100,7 @@
 }
 
 func TestFailedCollectorsAreSkipped(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
 		defer cancel()
 		f := newFleet(ctx, 100)
--- a/internal/tablestore/groupcommit/groupcommit_test.go
+++ b/internal/tablestore/groupcommit/groupcommit_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/basilrail/basilrail/internal/bubble"
 	"github.com/basilrail/basilrail/internal/tablestore"
 	"github.com/basilrail/basilrail/internal/tablestore/memtable"
 )
@@ -38,7 +39,7 @@
 }
 
 func TestConflictFailsOnlyItsOwnTransaction(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		table := memtable.New()
 		table.Commit(t.Context(), insert("taken"))
 		results := run(t, table, 100, insert("a"), insert("taken"), insert("b"))
@@ -51,7 +52,7 @@
 }
 
 func TestTransactionsOnSameRowAreSerialised(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		results := run(t, memtable.New(), 100, insert("a"), insert("a"))
 		outcomes := []tablestore.Outcome{results[0].Outcome, results[1].Outcome}
 		require.ElementsMatch(t, []tablestore.Outcome{tablestore.OutcomeCommitted, tablestore.OutcomeConflict}, outcomes)
@@ -59,7 +60,7 @@
 }
 
 func TestManyTransactionsStayWithinTheBudget(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		const perSecond = 10
 		table := memtable.New()
 		ctx, cancel := context.WithCancel(t.Context())
@@ -79,7 +80,7 @@
 }
 
 func TestOutageFailsFast(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		table := memtable.New()
 		table.SetFaults(memtable.Faults{Down: true})
 		ctx, cancel := context.WithCancel(t.Context())
@@ -96,7 +97,7 @@
 }
 
 func TestCancelledWhileQueuedIsNotApplied(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		table := memtable.New()
 		c := New(table, func() float64 { return 1 })
 		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
--- a/internal/upgrade/exposure_test.go
+++ b/internal/upgrade/exposure_test.go
@@ -7,11 +7,11 @@
 	"slices"
 	"sync"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/assert"
 
+	"github.com/basilrail/basilrail/internal/bubble"
 	"github.com/basilrail/basilrail/internal/dispatch"
 	"github.com/basilrail/basilrail/internal/statechart"
 	"github.com/basilrail/basilrail/internal/storefeed"
@@ -202,7 +202,7 @@
 		for _, worse := range defects {
 			for seed := range uint64(4) {
 				t.Run(fmt.Sprintf("%s, %s, seed %d", name, worse.name, seed), func(t *testing.T) {
-					synctest.Test(t, func(t *testing.T) {
+					bubble.Test(t, func(t *testing.T) {
 						s := simulate(t, what, &worse, seed)
 						assert.LessOrEqual(t, float64(s.newer), testExposure.Share*float64(s.all)+testExposure.Slack, "requests to the bad release of %d", s.all)
 						if worse.name == underLoad {
@@ -223,7 +223,7 @@
 // TestReleaseBadOnlyUnderLoadIsReverted guards against a release that is completed because
 // its canary has too little load to show what is bad about it.
 func TestReleaseBadOnlyUnderLoadIsReverted(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		worse := defects[slices.IndexFunc(defects, func(d defect) bool { return d.name == underLoad })]
 		s := simulate(t, modelService, &worse, 0)
 		assert.Equal(t, statechart.UpgradeReverted, s.fleet.records.current().State)
@@ -233,7 +233,7 @@
 // TestAllInstancesMoveTogether guards against sessions that change their release back and
 // forth in a large fleet, whose instances send evidence seldom.
 func TestAllInstancesMoveTogether(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		what := modelService
 		what.instances = 60
 		s := simulate(t, what, nil, 0)
@@ -254,7 +254,7 @@
 		stopped := 0
 		const seeds = 20
 		for seed := range uint64(seeds) {
-			synctest.Test(t, func(t *testing.T) {
+			bubble.Test(t, func(t *testing.T) {
 				s := simulate(t, what, nil, seed)
 				if s.fleet.records.current().State != statechart.UpgradeCompleted {
 					stopped++
--- a/internal/upgrade/restore_test.go
+++ b/internal/upgrade/restore_test.go
@@ -3,11 +3,11 @@
 import (
 	"fmt"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/assert"
 
+	"github.com/basilrail/basilrail/internal/bubble"
 	"github.com/basilrail/basilrail/internal/statechart"
 	"github.com/basilrail/basilrail/internal/storefeed"
 )
@@ -66,7 +66,7 @@
 		},
 	} {
 		t.Run(name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
+			bubble.Test(t, func(t *testing.T) {
 				f := startFleet(t, 5)
 				f.traffic(3*time.Second, 1, c.answer)
 				f.upgrade()
@@ -98,7 +98,7 @@
 // TestUpgradeContinuesOverARestore covers a restore in the first half, which loses the
 // request and the record, and a change of the request's revision.
 func TestUpgradeContinuesOverARestore(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		f := startFleet(t, 5)
 		f.traffic(3*time.Second, 1, goodAnswer)
 		f.upgrade()
@@ -119,7 +119,7 @@
 // TestEarlierRequestInARestoredStoreIsIgnored covers a copy that has the service's
 // previous request instead of the current one.
 func TestEarlierRequestInARestoredStoreIsIgnored(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		f := startFleet(t, 3)
 		f.upgrade()
 		f.traffic(24*time.Second, 1, goodAnswer)
@@ -141,7 +141,7 @@
 // others.
 func TestNewInstanceLeavesTheRecordToThoseThatKnowIt(t *testing.T) {
 	for i := range 8 {
-		synctest.Test(t, func(t *testing.T) {
+		bubble.Test(t, func(t *testing.T) {
 			f := startFleet(t, 3)
 			f.upgrade()
 			f.traffic(24*time.Second, 1, goodAnswer)
@@ -161,7 +161,7 @@
 // TestRecordOfALaterUpgradeIsNotOverwritten covers an instance without a record of its
 // upgrade that sees the record of a later one.
 func TestRecordOfALaterUpgradeIsNotOverwritten(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		f := startFleet(t, 1)
 		later := Record{
 			Service: service, To: "v3", UpgradeRevision: storefeed.Position{Revision: 12},
--- a/internal/upgrade/upgrade_test.go
+++ b/internal/upgrade/upgrade_test.go
@@ -12,6 +12,7 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"github.com/basilrail/basilrail/internal/bubble"
 	"github.com/basilrail/basilrail/internal/dispatch"
 	"github.com/basilrail/basilrail/internal/fleet"
 	"github.com/basilrail/basilrail/internal/peers/membus"
@@ -149,7 +150,7 @@
 }
 
 func TestGoodReleaseCompletesInTimeAndMovesNoSessionEarly(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		f := startFleet(t, 5)
 		_, before := f.traffic(3*time.Second, 1, goodAnswer)
 		f.upgrade()
@@ -185,7 +186,7 @@
 	}
 	for name, answer := range bad {
 		t.Run(name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
+			bubble.Test(t, func(t *testing.T) {
 				f := startFleet(t, 5)
 				f.traffic(3*time.Second, 1, answer)
 				f.upgrade()
@@ -202,7 +203,7 @@
 }
 
 func TestLateBadReleaseIsStoppedWhileSessionsMove(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		f := startFleet(t, 5)
 		f.upgrade()
 		f.traffic(13*time.Second, 1, goodAnswer)
@@ -216,7 +217,7 @@
 }
 
 func TestSlowdownOfBothReleasesDoesNotStopTheUpgrade(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		f := startFleet(t, 5)
 		f.traffic(3*time.Second, 1, goodAnswer)
 		f.upgrade()
@@ -232,7 +233,7 @@
 }
 
 func TestOutcomeIsRecordedDespiteOutageLostResponsesAndCrash(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		f := startFleet(t, 3)
 		f.upgrade()
 		f.traffic(8*time.Second, 1, goodAnswer)
@@ -256,7 +257,7 @@
 }
 
 func TestServersOfAReleaseWithoutAnUpgradeGetNoRequests(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		f := startFleet(t, 1)
 		assert.Equal(t, oldRelease, f.controllers[0].Choose(service, "s"))
 		f.sets[0].Put(registrations(newRelease)...)
@@ -266,7 +267,7 @@
 }
 
 func TestSessionSeenElsewhereKeepsItsReleaseInTheFirstHalf(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		const sessions = 300
 		f := startFleet(t, 2)
 		for n := range sessions {
@@ -291,7 +292,7 @@
 // then gets no answers, or everything.
 func TestRequestsWithoutASessionAreSplitBetweenReleases(t *testing.T) {
 	for _, release := range []string{"v2", "v3", "v4", "v5"} {
-		synctest.Test(t, func(t *testing.T) {
+		bubble.Test(t, func(t *testing.T) {
 			f := startFleet(t, 2)
 			for i, c := range f.controllers {
 				f.sets[i].Put(registrations(release)...)
@@ -318,7 +319,7 @@
 // TestReleaseWithdrawnEarlierIsNotTheOldOne guards against the servers of a bad release,
 // which remain for a time, being taken for those of the old one in the next upgrade.
 func TestReleaseWithdrawnEarlierIsNotTheOldOne(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		f := startFleet(t, 3)
 		f.traffic(3*time.Second, 1, goodAnswer)
 		f.upgrade()
