testgate: Print the output of tests that did not end

A test that began and did not end now fails the run, and the end of its output is printed. TestOutputOfATestThatDidNotEndIsPrinted, and a case of the verdict.

--- a/internal/testgate/gate.go
+++ b/internal/testgate/gate.go
@@ -11,8 +11,16 @@
 	"github.com/pkg/errors"
 )
 
-// maxLineBytes is the maximum length of one line of test output.
-const maxLineBytes = 4 << 20
+const (
+	// maxLineBytes is the maximum length of one line of test output.
+	maxLineBytes = 4 << 20
+	// maxUnfinishedLines is the number of lines printed of the output of a test that did
+	// not end, from its end.
+	maxUnfinishedLines = 200
+)
+
+// unfinished is the result of a package or test that started and did not end.
+const unfinished = "unfinished"
 
 // testEvent is one line of "go test -json".
 type testEvent struct {
@@ -74,8 +82,8 @@
 func (g *gate) event(e testEvent) {
 	id := testID{pkg: e.Package, name: e.Test}
 	switch e.Action {
-	case "start":
-		g.result[id] = "unfinished"
+	case "start", "run":
+		g.result[id] = unfinished
 	case "build-output":
 		fmt.Fprint(g.out, e.Output)
 	case "output":
@@ -105,16 +113,40 @@
 		g.print(id, known)
 	}
 	for _, pkg := range g.failedPackages() {
-		if failedIn[pkg] && !g.crashed[pkg] {
+		cutOff := g.unfinishedIn(pkg)
+		if failedIn[pkg] && !g.crashed[pkg] && len(cutOff) == 0 {
 			continue
 		}
 		ok = false
 		fmt.Fprintf(g.out, "FAIL %s: it did not build, or its tests did not all run\n%s", pkg, strings.Join(g.output[testID{pkg: pkg}], ""))
+		g.printUnfinished(cutOff)
 	}
 	g.printKnown()
 	return ok
 }
 
+// unfinishedIn returns the tests of a package that did not end, sorted.
+func (g *gate) unfinishedIn(pkg string) []testID {
+	var list []testID
+	for id, result := range g.result {
+		if id.pkg == pkg && id.name != "" && result == unfinished {
+			list = append(list, id)
+		}
+	}
+	sort.Slice(list, func(i, j int) bool { return list[i].name < list[j].name })
+	return list
+}
+
+// printUnfinished prints tests that did not end. The last message of a test process that ended
+// by itself belongs to one of them.
+func (g *gate) printUnfinished(tests []testID) {
+	for _, id := range tests {
+		lines := g.output[id]
+		lines = lines[max(0, len(lines)-maxUnfinishedLines):]
+		fmt.Fprintf(g.out, "UNFINISHED %s %s\n%s", id.pkg, id.name, strings.Join(lines, ""))
+	}
+}
+
 // failures returns the failed tests that have no failed subtest, sorted.
 func (g *gate) failures() []testID {
 	var failed []testID
@@ -144,7 +176,7 @@
 func (g *gate) failedPackages() []string {
 	var list []string
 	for id, result := range g.result {
-		if id.name == "" && (result == "fail" || result == "unfinished") {
+		if id.name == "" && (result == "fail" || result == unfinished) {
 			list = append(list, id.pkg)
 		}
 	}
--- a/internal/testgate/gate_test.go
+++ b/internal/testgate/gate_test.go
@@ -42,6 +42,7 @@
 		{desc: "a test of the same name in another package fails", input: lines(sameName, bFails), want: false},
 		{desc: "a package does not build", input: bFails, want: false},
 		{desc: "a package's tests never end", input: lines(aPasses, `{"Action":"start","Package":"m/internal/b"}`), want: false},
+		{desc: "the process ends by itself after the listed test failed", input: lines(redFails, `{"Action":"run","Package":"m/internal/a","Test":"TestCutOff"}`, aFails), want: false},
 		{desc: "the listed test panics", input: lines(panics, redFails, aFails), want: false},
 	}
 	known, err := parseKnown("KNOWN-RED.txt", list)
@@ -57,6 +58,24 @@
 	}
 }
 
+// Guards against a test process that ends by itself without a word in CI on the cause.
+func TestOutputOfATestThatDidNotEndIsPrinted(t *testing.T) {
+	var out strings.Builder
+	g := newGate(nil, &out)
+	require.NoError(t, g.read(strings.NewReader(lines(
+		`{"Action":"start","Package":"m/internal/a"}`,
+		`{"Action":"run","Package":"m/internal/a","Test":"TestEnds"}`,
+		`{"Action":"output","Package":"m/internal/a","Test":"TestEnds","Output":"of a test that passed\n"}`,
+		`{"Action":"pass","Package":"m/internal/a","Test":"TestEnds"}`,
+		`{"Action":"run","Package":"m/internal/a","Test":"TestCutOff"}`,
+		`{"Action":"output","Package":"m/internal/a","Test":"TestCutOff","Output":"signal: killed\n"}`,
+		`{"Action":"fail","Package":"m/internal/a"}`,
+	))))
+	assert.False(t, g.verdict())
+	assert.Contains(t, out.String(), "UNFINISHED m/internal/a TestCutOff\nsignal: killed\n")
+	assert.NotContains(t, out.String(), "TestEnds")
+}
+
 func TestNoTestsRunIsAnError(t *testing.T) {
 	assert.Error(t, newGate(nil, &strings.Builder{}).read(strings.NewReader("")))
 }
