serverpath, relay: Reach servers through other instances

Cause: an instance had one path to the servers, its own links, and each failed connect counted as a fault of that one server. Nothing put failures at several servers together, and there was no other path. Ruled out as the cause: notices of peers (the others served all of their requests) and missing capacity. The class of fault: what an instance observes over its own links is taken for the state of the servers.

Change: a check that finds out whether any server of a service accepts connections (package serverpath, chart serverpath), and connections that another instance carries to a server (package relay, streams of the mesh). Events 6025 and 6028, two metrics.

--- a/internal/dispatch/exchange.go
+++ b/internal/dispatch/exchange.go
@@ -237,7 +237,9 @@
 	if outcome.Execution() != apierror.NotRun && x.execution != apierror.DidRun {
 		x.execution = outcome.Execution()
 	}
-	if x.mayRepeat(ctx, outcome) {
+	// Without a link to the servers another one can't be reached either.
+	isCutOff := outcome == retry.OutcomeConnectFailed && linkOf(err) == LinkLost
+	if !isCutOff && x.mayRepeat(ctx, outcome) {
 		return nil
 	}
 	reason := reasonOf(outcome)
--- a/internal/events/servers.go
+++ b/internal/events/servers.go
@@ -107,6 +107,16 @@
 		Number: 6024, Name: "prompt_part_record_failed", Level: logrus.WarnLevel,
 		Message: "the record of refused prompt parts could not be written or read; the refusal itself stays in effect",
 	})
+	ServerPathChanged = register(Event{
+		Number: 6025, Name: "server_path_changed", Level: logrus.WarnLevel,
+		Message: "how this instance reaches the backend servers of the service in path; outcome is direct, relayed (other instances connect to them for this one) or cut_off",
+		Action:  "For relayed and cut_off, check the network between this instance and the servers. If all instances are cut_off, check the servers.",
+	})
+	RelayRefused = register(Event{
+		Number: 6028, Name: "relay_refused", Level: logrus.InfoLevel,
+		Message: "the instance in peer did not connect to the backend server for this one, for the reason in error; another one is asked",
+		Action:  "If most peers refuse, look for 6025 there.",
+	})
 	ContentDisconnectsServers = register(Event{
 		Number: 6014, Name: "content_breaks_servers", Level: logrus.ErrorLevel,
 		Message: "several servers disconnected, one after another, while running the same request; it is refused temporarily",
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -74,6 +74,8 @@
 type Snapshot struct {
 	byID      map[string]*Server
 	byService map[string]*serviceIndex
+	// services are the keys of byService in order.
+	services []string
 }
 
 // Server returns the server with the given id; ok is false if there is none.
@@ -90,6 +92,9 @@
 	return nil
 }
 
+// Services returns the services that have servers, in order.
+func (s *Snapshot) Services() []string { return s.services }
+
 // Len returns the number of servers of all services.
 func (s *Snapshot) Len() int { return len(s.byID) }
 
@@ -417,5 +422,6 @@
 			index.sameDomain.add(server)
 		}
 	}
+	snap.services = slices.Sorted(maps.Keys(snap.byService))
 	s.current.Store(snap)
 }
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -65,6 +65,8 @@
 	PeerBytesRead    func() float64
 	PeerDrops        func() float64
 	PeerRejects      func() float64
+	ServicesCutOff   func() float64
+	RelayedStreams   func() float64
 	LogLinesDropped  func() float64
 }
 
@@ -125,6 +127,8 @@
 	r.gauge("peer_bytes_received_total", "bytes", "Bytes received from other entry instances.", s.PeerBytesRead)
 	r.gauge("peer_drops_total", "messages", "Messages to other entry instances dropped because the send queue was full.", s.PeerDrops)
 	r.gauge("log_lines_dropped_total", "lines", "Log lines dropped because the output was too slow or the rate limit was exceeded.", s.LogLinesDropped)
+	r.gauge("services_cut_off", "services", "Services of which this instance reaches no backend server over its own links.", s.ServicesCutOff)
+	r.gauge("relayed_streams", "streams", "Connections to backend servers that this instance carries for others.", s.RelayedStreams)
 	r.gauge("peer_rejects_total", "messages", "Peer messages and connections refused as malformed or not authenticated.", s.PeerRejects)
 }
 
--- a/internal/peers/bus.go
+++ b/internal/peers/bus.go
@@ -84,9 +84,18 @@
 // crashed, those that servers answered, and those that are refused.
 const KindPromptCrash Kind = 35
 
+// KindServerPath reports to the instances of the sender's failure domain the services whose
+// servers the sender can't connect to.
+const KindServerPath Kind = 36
+
 // KindCommit requests that a peer commit a transaction to the table service.
 const KindCommit Kind = 24
 
+// IsInsideDomain reports whether broadcasts of a kind stay in the sender's failure domain.
+func IsInsideDomain(kind Kind) bool {
+	return kind == KindLoad || kind == KindServerUnresponsive || kind == KindServerPath
+}
+
 // Message is one received message.
 type Message struct {
 	Kind Kind
--- a/internal/peers/membus/membus.go
+++ b/internal/peers/membus/membus.go
@@ -66,11 +66,11 @@
 	b.handlers[kind] = h
 }
 
-// Broadcast delivers to every instance if neither it nor the sender is partitioned. It
-// returns after all handlers have run.
+// Broadcast delivers to every instance, or to those of the sender's failure domain, if neither
+// it nor the sender is partitioned. It returns after all handlers have run.
 func (b *Bus) Broadcast(kind peers.Kind, body any) {
 	for _, p := range b.Peers() {
-		if p.Connected {
+		if p.Connected && (p.FailureDomain == b.domain || !peers.IsInsideDomain(kind)) {
 			_ = b.Request(context.Background(), p.ID, kind, body, nil)
 		}
 	}
--- a/internal/peers/mesh/connect.go
+++ b/internal/peers/mesh/connect.go
@@ -192,10 +192,17 @@
 		http.Error(w, "not running", http.StatusServiceUnavailable)
 		return
 	}
-	l, transient := m.authenticate(ctx, w, r)
+	conn, greeting := m.authenticate(ctx, w, r)
 	switch {
-	case l == nil:
-	case transient:
+	case conn == nil:
+		return
+	case greeting.Target != "":
+		m.serveStream(ctx, greeting.Target, conn)
+		return
+	}
+	l := newLink(m, conn, greeting.From, false)
+	switch {
+	case greeting.Transient:
 		m.serveTransient(ctx, l)
 	case m.add(l):
 		m.runLink(ctx, l)
@@ -206,28 +213,28 @@
 
 // authenticate upgrades a connection and authenticates its peer; it returns nil if the
 // connection was refused.
-func (m *Mesh) authenticate(ctx context.Context, w http.ResponseWriter, r *http.Request) (_ *link, transient bool) {
+func (m *Mesh) authenticate(ctx context.Context, w http.ResponseWriter, r *http.Request) (*websocket.Conn, hello) {
 	if len(m.sharedSecret()) == 0 {
 		http.Error(w, "the shared secret is not known yet", http.StatusServiceUnavailable)
-		return nil, false
+		return nil, hello{}
 	}
 	select {
 	case m.handshakes <- struct{}{}:
 		defer func() { <-m.handshakes }()
 	default:
 		http.Error(w, "too many connections at once", http.StatusServiceUnavailable)
-		return nil, false
+		return nil, hello{}
 	}
 	conn, err := websocket.Accept(w, r, nil)
 	if err != nil {
-		return nil, false
+		return nil, hello{}
 	}
 	greeting, err := acceptHandshake(ctx, conn, m.sharedSecret(), m.self)
 	if err != nil {
 		m.counters.rejected.Add(1)
 		m.cfg.Log.Log(events.PeerRejected, events.Fields{Peer: truncate(greeting.From.ID, maxNameBytes), Err: err})
 		_ = conn.CloseNow()
-		return nil, false
+		return nil, hello{}
 	}
-	return newLink(m, conn, greeting.From, false), greeting.Transient
+	return conn, greeting
 }
--- a/internal/peers/mesh/handshake.go
+++ b/internal/peers/mesh/handshake.go
@@ -39,6 +39,21 @@
 	// Transient marks a connection for requests only, which is not a link of the
 	// mesh.
 	Transient bool `cbor:"4,keyasint"`
+	// Target is what a stream is opened to; empty for a link. It is set exactly if Version
+	// is streamVersion.
+	Target string `cbor:"5,keyasint,omitempty"`
+}
+
+// isValid reports whether a hello is complete and its version is known.
+func (h *hello) isValid() error {
+	isStream := h.Version == streamVersion && h.Target != ""
+	if !isStream && (h.Version != protocolVersion || h.Target != "") {
+		return errVersion
+	}
+	if len(h.Nonce) != nonceBytes || h.From.ID == "" || len(h.From.ID) > maxNameBytes || len(h.Target) > maxNameBytes {
+		return errFrame
+	}
+	return nil
 }
 
 // welcome is the acceptor's answer, with its proof of the shared secret.
@@ -67,6 +82,9 @@
 		transient, h.Nonce, w.Nonce,
 		[]byte(h.From.ID), []byte(h.From.Incarnation), []byte(w.From.ID), []byte(w.From.Incarnation),
 	}
+	if h.Target != "" {
+		fields = append(fields, []byte(h.Target))
+	}
 	for _, field := range fields {
 		var length [4]byte
 		binary.BigEndian.PutUint32(length[:], uint32(len(field)))
@@ -87,13 +105,13 @@
 	return b
 }
 
-// dialHandshake runs the dialer's side of the handshake and returns the identity of
-// the acceptor.
-func dialHandshake(ctx context.Context, conn *websocket.Conn, secret []byte, self identity, transient bool) (identity, error) {
+// dialHandshake runs the dialer's side of the handshake with a hello, whose nonce it sets,
+// and returns the identity of the acceptor.
+func dialHandshake(ctx context.Context, conn *websocket.Conn, secret []byte, h hello) (identity, error) {
 	ctx, cancel := context.WithTimeout(ctx, handshakeTimeout)
 	defer cancel()
 	conn.SetReadLimit(maxHandshakeBytes)
-	h := hello{Version: protocolVersion, From: self, Nonce: nonce(), Transient: transient}
+	h.Nonce = nonce()
 	if err := write(ctx, conn, h); err != nil {
 		return identity{}, err
 	}
@@ -120,11 +138,8 @@
 	if err := read(ctx, conn, &h); err != nil {
 		return h, err
 	}
-	if h.Version != protocolVersion {
-		return h, errVersion
-	}
-	if len(h.Nonce) != nonceBytes || h.From.ID == "" || len(h.From.ID) > maxNameBytes {
-		return h, errFrame
+	if err := h.isValid(); err != nil {
+		return h, err
 	}
 	w := welcome{Version: protocolVersion, From: self, Nonce: nonce()}
 	w.MAC = mac(secret, roleAcceptor, h, w)
--- a/internal/peers/mesh/mesh.go
+++ b/internal/peers/mesh/mesh.go
@@ -69,6 +69,7 @@
 
 	mu       sync.Mutex
 	handlers map[peers.Kind]peers.Handler
+	streams  StreamHandler
 	others   []peers.Peer
 	// fleetShape is derived from others.
 	fleetShape        fleetShape
@@ -204,7 +205,7 @@
 	// the domains are densely linked, these reach every other domain, so it is relayed
 	// only inside this one.
 	fromOutside := from != "" && !inside[from] && m.fleetShape.denselyLinked
-	onlyInside := (kind == peers.KindLoad || kind == peers.KindServerUnresponsive) && m.topology.domain != ""
+	onlyInside := peers.IsInsideDomain(kind) && m.topology.domain != ""
 	for id, l := range m.links {
 		if (onlyOutside && inside[id]) || ((onlyInside || fromOutside) && !inside[id]) {
 			continue
@@ -300,20 +301,29 @@
 
 // connect dials a peer and authenticates both ends.
 func (m *Mesh) connect(ctx context.Context, target peers.Peer, transient bool) (*link, error) {
+	conn, remote, err := m.dialPeer(ctx, target, hello{Version: protocolVersion, From: m.self, Transient: transient})
+	if err != nil {
+		return nil, err
+	}
+	return newLink(m, conn, remote, true), nil
+}
+
+// dialPeer dials a peer and authenticates both ends with a hello, whose nonce it adds.
+func (m *Mesh) dialPeer(ctx context.Context, target peers.Peer, h hello) (*websocket.Conn, identity, error) {
 	dialCtx, cancel := context.WithTimeout(ctx, handshakeTimeout)
 	defer cancel()
 	conn, _, err := websocket.Dial(dialCtx, m.scheme+"://"+target.Address+Path, &websocket.DialOptions{HTTPClient: m.client})
 	if err != nil {
-		return nil, errors.Wrap(err, "dial peer")
+		return nil, identity{}, errors.Wrap(err, "dial peer")
 	}
-	remote, err := dialHandshake(ctx, conn, m.sharedSecret(), m.self, transient)
+	remote, err := dialHandshake(ctx, conn, m.sharedSecret(), h)
 	if err == nil && remote.ID != target.ID {
 		err = errors.Errorf("peer at %s is %s, not %s", target.Address, remote.ID, target.ID)
 	}
 	if err != nil {
 		_ = conn.CloseNow()
 		m.counters.rejected.Add(1)
-		return nil, err
+		return nil, identity{}, err
 	}
-	return newLink(m, conn, remote, true), nil
+	return conn, remote, nil
 }
--- /dev/null
+++ b/internal/serverpath/norace_test.go
@@ -0,0 +1,5 @@
+//go:build !race
+
+package serverpath
+
+const raceEnabled = false
--- a/internal/statechart/names.go
+++ b/internal/statechart/names.go
@@ -98,3 +98,20 @@
 	UpgradeReleaseBad Event = "release_bad"
 	UpgradeMoved      Event = "moved"
 )
+
+// States of the serverpath chart.
+const (
+	PathDirect  State = "direct"
+	PathCutOff  State = "cut_off"
+	PathRelayed State = "relayed"
+	PathStopped State = "stopped"
+)
+
+// Events of the serverpath chart.
+const (
+	PathServersReached Event = "servers_reached"
+	PathServersLost    Event = "servers_lost"
+	PathRelayFound     Event = "relay_found"
+	PathRelayLost      Event = "relay_lost"
+	PathStop           Event = "stop"
+)
--- a/internal/statechart/set.go
+++ b/internal/statechart/set.go
@@ -19,6 +19,7 @@
 	Entry   *Chart
 	Server  *Chart
 	Upgrade *Chart
+	Path    *Chart
 }
 
 // Load parses all embedded charts. The error is a findings.List with the findings
@@ -31,6 +32,7 @@
 		Entry:   load(&list, "entry"),
 		Server:  load(&list, "server"),
 		Upgrade: load(&list, "upgrade"),
+		Path:    load(&list, "serverpath"),
 	}
 	if err := list.Err(); err != nil {
 		return nil, err
@@ -39,7 +41,9 @@
 }
 
 // All returns the charts in the order of the documentation.
-func (s *Set) All() []*Chart { return []*Chart{s.Request, s.Rollout, s.Entry, s.Server, s.Upgrade} }
+func (s *Set) All() []*Chart {
+	return []*Chart{s.Request, s.Rollout, s.Entry, s.Server, s.Upgrade, s.Path}
+}
 
 func load(list *findings.List, name string) *Chart {
 	file := path.Join("charts", name+".yaml")
