dispatch: Report no server for a fault of the links

While instances were cut off, a sound instance of their failure domain ejected sound servers 37 times on notices of theirs. The same cause could stop a good release, refuse contents, and accuse the parts of all prompts in flight.

Cause: reports on servers were made from failed connects, timeouts and lost connections alone.

Reports now wait until a server of the service accepts a connection of this instance, and are dropped if none does; for an attempt through a relay its word counts. Failure responses count at once.

--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -47,9 +47,36 @@
 	err = x.endWatch(ctx, p, err)
 	x.recordOutcome(ctx, p, err)
 	x.recordDisconnect(ctx, p, err)
+	x.reportFaults(ctx, p, err)
 	return err
 }
 
+// addFault adds a report on a fault that the server or the links of this instance may have.
+func (p *placement) addFault(report func()) { p.faults = append(p.faults, report) }
+
+// reportFaults makes the reports on the server, unless the fault was one of the links. An
+// instance that reaches no server must not report servers as failed. The reports are made
+// before the next attempt, which they may prevent.
+func (x *exchange) reportFaults(ctx context.Context, p *placement, err error) {
+	if len(p.faults) == 0 || !x.isFaultOfServer(ctx, err) {
+		return
+	}
+	for _, report := range p.faults {
+		report()
+	}
+}
+
+// isFaultOfServer reports whether an attempt failed although the links work.
+func (x *exchange) isFaultOfServer(ctx context.Context, err error) bool {
+	switch linkOf(err) {
+	case LinkSound:
+		return true
+	case LinkLost:
+		return false
+	}
+	return x.d.Paths == nil || x.d.Paths.Check(ctx, x.service)
+}
+
 // endPrefill removes the prompt's prefill time from the server's load.
 func (x *exchange) endPrefill(p *placement) {
 	p.server.AddPrefill(-p.prefill)
@@ -198,10 +225,12 @@
 	case outcome == retry.OutcomeNoCapacity:
 		p.server.RecordCapacityRefusal(now)
 	case outcome == retry.OutcomeConnectFailed, outcome == retry.OutcomeTimeout && ctx.Err() == nil:
-		x.recordUnresponsive(p, now)
+		p.addFault(func() { x.recordUnresponsive(p, now) })
 	case outcome == retry.OutcomeCallerGone, outcome == retry.OutcomeDraining, ctx.Err() != nil:
-	default:
+	case err == errServerFailed:
 		x.logEjection(p, p.server.RecordFailure(now))
+	default:
+		p.addFault(func() { x.logEjection(p, p.server.RecordFailure(now)) })
 	}
 	// Only a failure response counts against the release; a lost connection is
 	// attributed to the server.
@@ -251,5 +280,9 @@
 	if timedOut && p.latency == 0 {
 		o.Latency, o.GivenUp = time.Since(p.started), true
 	}
+	if timedOut {
+		p.addFault(func() { x.d.Releases.Observe(o) })
+		return
+	}
 	x.d.Releases.Observe(o)
 }
--- a/internal/dispatch/disconnects.go
+++ b/internal/dispatch/disconnects.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/pkg/errors"
 
@@ -53,7 +54,9 @@
 		p.watched.Ended()
 		return errPartRefused
 	case outcomeOf(err) == retry.OutcomeDisconnected && ctx.Err() == nil:
-		p.watched.Disconnected()
+		at := time.Now()
+		p.watched.Ended()
+		p.addFault(func() { p.watched.Disconnected(at) })
 		x.isTrial = false
 	default:
 		p.watched.Ended()
@@ -85,6 +88,7 @@
 			x.d.Disconnects.Answered(x.fingerprint())
 		}
 	case outcomeOf(err) == retry.OutcomeDisconnected && ctx.Err() == nil:
-		x.d.Disconnects.Disconnected(x.fingerprint(), p.server.ID, p.started)
+		content, at := x.fingerprint(), time.Now()
+		p.addFault(func() { x.d.Disconnects.Disconnected(content, p.server.ID, p.started, at) })
 	}
 }
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -56,9 +56,9 @@
 	// RefusedFor returns how long a content is still refused; zero if it may be
 	// sent.
 	RefusedFor(content quarantine.Fingerprint) time.Duration
-	// Disconnected records that a server disconnected while running a content. The
+	// Disconnected records that a server disconnected at a time while running a content. The
 	// attempt began at started.
-	Disconnected(content quarantine.Fingerprint, server string, started time.Time)
+	Disconnected(content quarantine.Fingerprint, server string, started, at time.Time)
 	// Answered records that a server answered a content completely.
 	Answered(content quarantine.Fingerprint)
 }
@@ -72,6 +72,13 @@
 	Next(server string) time.Duration
 }
 
+// Paths tells faults of the links of this instance from faults of servers.
+type Paths interface {
+	// Check reports whether a server of the service accepts a new connection of this instance
+	// now, or whether that was so last if the context ends before.
+	Check(ctx context.Context, service string) bool
+}
+
 // Observation is the result of one attempt at a backend server.
 type Observation struct {
 	Service string
@@ -104,6 +111,8 @@
 	Poison *poison.Tracker
 	// Limits are the limits of requests that servers named.
 	Limits Limits
+	// Paths may be nil: then every fault counts as one of the server.
+	Paths Paths
 	// Budgets bounds the attempts after the first.
 	Budgets *retry.Budgets
 	// FailureDomain is the failure domain of this instance.
--- a/internal/dispatch/exchange.go
+++ b/internal/dispatch/exchange.go
@@ -110,6 +110,8 @@
 	attempt *Attempt
 	// watched is the attempt at the poison tracker; nil for none.
 	watched *poison.Attempt
+	// faults are the reports that follow if the server, not a link, had the fault.
+	faults []func()
 }
 
 // run makes attempts until one answers or no further attempt is allowed.
--- a/internal/poison/evidence_test.go
+++ b/internal/poison/evidence_test.go
@@ -202,6 +202,28 @@
 	return New(Options{Bus: network.Join(name, "d"), FleetSize: func() int { return 2 }, Seed: 1})
 }
 
+// Guards against deadly parts that are found late, or not at all, because the reports on crashes
+// wait until the links to the servers are known to work (BUDGET).
+func TestLateReportCountsFromTheEndOfTheConnection(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
+		tracker := newTracker(membus.New(), "a")
+		go tracker.Run(t.Context())
+		for n := range newPartCrashes {
+			attempt := tracker.Begin(fmt.Sprint("s", n), []Part{first, subject}, func() {})
+			time.Sleep(200 * time.Millisecond)
+			attempt.Received()
+			time.Sleep(60 * time.Millisecond)
+			at := time.Now()
+			attempt.Ended()
+			time.Sleep(accusedFor)
+			attempt.Disconnected(at)
+			time.Sleep(300 * time.Millisecond)
+		}
+		_, refused, _ := tracker.Refused([]Part{first, subject})
+		assert.True(t, refused)
+	})
+}
+
 // crashServer lets a request crash a server at an instance, beside another one that goes on
 // if the connection alone was lost.
 func crashServer(a *Tracker, server string, parts []Part, serverGoesOn bool) {
@@ -211,9 +233,9 @@
 	time.Sleep(200 * time.Millisecond)
 	attempt.Received()
 	time.Sleep(60 * time.Millisecond)
-	attempt.Disconnected()
+	attempt.Disconnected(time.Now())
 	if !serverGoesOn {
-		other.Disconnected()
+		other.Disconnected(time.Now())
 	}
 	for range 10 {
 		time.Sleep(100 * time.Millisecond)
@@ -249,7 +271,7 @@
 					attempt := a.Begin(server, parts, func() {})
 					time.Sleep(100 * time.Millisecond)
 					attempt.Received()
-					attempt.Disconnected()
+					attempt.Disconnected(time.Now())
 					for range 10 {
 						time.Sleep(50 * time.Millisecond)
 						other.Received()
--- a/internal/poison/poison.go
+++ b/internal/poison/poison.go
@@ -225,8 +225,9 @@
 	}
 }
 
-// Disconnected records that the connection ended without a complete answer.
-func (a *Attempt) Disconnected() {
+// Disconnected records that the connection ended at a time without a complete answer. It may be
+// called later, after Ended.
+func (a *Attempt) Disconnected(at time.Time) {
 	if a == nil {
 		return
 	}
@@ -234,14 +235,14 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.remove(a)
-	if a.isSound.Load() || (!a.headAt.IsZero() && time.Since(a.headAt) >= accusedFor) {
+	if a.isSound.Load() || (!a.headAt.IsZero() && at.Sub(a.headAt) >= accusedFor) {
 		return
 	}
 	i := t.interrupted[a.server]
 	if i == nil {
-		i = &interruption{at: time.Now()}
+		i = &interruption{at: at}
 		t.interrupted[a.server] = i
-		time.AfterFunc(crashGrace, func() { t.checkCrash(a.server, i) })
+		time.AfterFunc(crashGrace-time.Since(at), func() { t.checkCrash(a.server, i) })
 	}
 	if len(i.requests) < maxRequestsPerCrash {
 		i.requests = append(i.requests, a.parts)
--- a/internal/quarantine/disconnects.go
+++ b/internal/quarantine/disconnects.go
@@ -101,10 +101,10 @@
 	return max(0, time.Until(state.last.Add(initialRefusal<<doublings)))
 }
 
-// Disconnected records that a server disconnected while running a content. The
-// attempt began at started. A disconnect is ignored if the attempt began before the
+// Disconnected records that a server disconnected at a time, which may be some time ago, while
+// running a content. The attempt began at started. A disconnect is ignored if the attempt began before the
 // last one counted, or if the server already counts.
-func (d *DisconnectTracker) Disconnected(fp Fingerprint, server string, started time.Time) {
+func (d *DisconnectTracker) Disconnected(fp Fingerprint, server string, started, at time.Time) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	state, ok := d.contents.Get(fp)
@@ -115,7 +115,7 @@
 	if started.Before(state.last) || slices.Contains(state.servers, server) {
 		return
 	}
-	d.setServers(fp, state, append(slices.Clone(state.servers), server), time.Now())
+	d.setServers(fp, state, append(slices.Clone(state.servers), server), at)
 	d.unreported[fp] = true
 }
 
--- a/internal/quarantine/disconnects_test.go
+++ b/internal/quarantine/disconnects_test.go
@@ -32,7 +32,7 @@
 			if at.RefusedFor(culprit) == 0 {
 				started := time.Now()
 				time.Sleep(20 * time.Millisecond)
-				at.Disconnected(culprit, fmt.Sprint("s", ran), started)
+				at.Disconnected(culprit, fmt.Sprint("s", ran), started, time.Now())
 				ran++
 			}
 			time.Sleep(1500 * time.Millisecond)
@@ -53,7 +53,7 @@
 		started := time.Now()
 		time.Sleep(time.Second)
 		for _, server := range servers {
-			b.Disconnected(innocent, server, started)
+			b.Disconnected(innocent, server, started, time.Now())
 		}
 		assert.Zero(t, b.RefusedFor(innocent), "the loss of a failure domain disconnects all requests in flight there")
 	})
@@ -63,7 +63,7 @@
 	bubble.Test(t, func(t *testing.T) {
 		fleet := newTrackers(t, 3)
 		for i, b := range fleet {
-			b.Disconnected(innocent, servers[i], time.Now())
+			b.Disconnected(innocent, servers[i], time.Now(), time.Now())
 			time.Sleep(2 * broadcastInterval)
 		}
 		assert.Positive(t, fleet[0].RefusedFor(innocent))
@@ -79,7 +79,7 @@
 func TestContentAnsweredBeforeBroadcastIsNotReported(t *testing.T) {
 	bubble.Test(t, func(t *testing.T) {
 		fleet := newTrackers(t, 2)
-		fleet[0].Disconnected(innocent, "s1", time.Now())
+		fleet[0].Disconnected(innocent, "s1", time.Now(), time.Now())
 		time.Sleep(100 * time.Millisecond)
 		fleet[0].Answered(innocent)
 		time.Sleep(3 * broadcastInterval)
@@ -91,7 +91,7 @@
 	bubble.Test(t, func(t *testing.T) {
 		b := newTrackers(t, 1)[0]
 		for range 10 {
-			b.Disconnected(innocent, "s1", time.Now())
+			b.Disconnected(innocent, "s1", time.Now(), time.Now())
 			time.Sleep(time.Second)
 		}
 		assert.Zero(t, b.RefusedFor(innocent))
