--- a/internal/requestlimit/quota.go
+++ b/internal/requestlimit/quota.go
@@ -21,10 +21,20 @@
 // begin returns the time at which the slot begins.
 func (s slot) begin() time.Duration { return time.Duration(s) * slotDuration }
 
-// member is the hash of the id of an instance.
-type member uint64
+// Member is the hash of the id of an instance.
+type Member uint64
 
-func memberOf(id string) member { return member(xxhash.Sum64String(id)) }
+// MemberOf returns the Member of an instance.
+func MemberOf(id string) Member { return Member(xxhash.Sum64String(id)) }
+
+// MembersOf returns the Members of instances.
+func MembersOf(ids []string) []Member {
+	members := make([]Member, len(ids))
+	for i, id := range ids {
+		members[i] = MemberOf(id)
+	}
+	return members
+}
 
 // serverSlot seeds the decisions about one server in one slot.
 func serverSlot(server string, at slot) uint64 {
@@ -41,11 +51,17 @@
 
 // quota returns how many of them an instance may send. In each slot the instances have
 // another order, by a hash, in which the requests are dealt out to them. So the sum keeps
-// the limit although they don't ask each other, and those that know of one instance more
-// or less deal out the same requests to nearly all.
-func quota(limit float64, server string, at slot, self member, others []member) int {
+// the limit although they don't ask each other.
+func quota(limit float64, server string, at slot, self Member, others []Member) int {
 	seed := serverSlot(server, at)
-	total, size := fleetQuota(limit, seed), len(others)+1
+	return Share(fleetQuota(limit, seed), seed, self, others)
+}
+
+// Share returns an instance's part of a total that is dealt out to all instances in the order
+// of a hash with the seed. Instances that know of one more or less deal out the same to nearly
+// all.
+func Share(total int, seed uint64, self Member, others []Member) int {
+	size := len(others) + 1
 	own, before := datastore.MixHash(seed^uint64(self)), 0
 	if total%size > 0 {
 		for _, other := range others {
