brittle: Send brittle servers no more than they have room for

Servers may announce in their answers Server-Brittle: N; one that has to turn away more than N requests in a second for want of room falls over (LIMIT). Nothing read it.

So a server's slots are divided: three quarters for the instances of its failure domain, which share them by the known load, the rest dealt out by hash, without asking anybody. One that turned a request away, or is silent, gets nothing for a while. Requests through a relay count at the instance that has the caller.

--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -28,6 +28,7 @@
 // runAttempt makes one attempt. It returns nil when the request has its final
 // answer.
 func (x *exchange) runAttempt(ctx context.Context, p *placement) error {
+	p.server.RecordSent()
 	p.server.Begin(p.tokens)
 	defer p.server.End(p.tokens)
 	p.server.AddPrefill(p.prefill)
@@ -224,6 +225,7 @@
 		p.server.RecordSuccess()
 	case outcome == retry.OutcomeNoCapacity:
 		p.server.RecordCapacityRefusal(now)
+		x.d.Limits.Rejected(p.server)
 	case outcome == retry.OutcomeConnectFailed, outcome == retry.OutcomeTimeout && ctx.Err() == nil:
 		p.addFault(func() { x.recordUnresponsive(p, now) })
 	case outcome == retry.OutcomeCallerGone, outcome == retry.OutcomeDraining, ctx.Err() != nil:
--- a/internal/dispatch/deadlyfleet_test.go
+++ b/internal/dispatch/deadlyfleet_test.go
@@ -1,15 +1,19 @@
 package dispatch
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"math/rand/v2"
 	"slices"
+	"strconv"
 	"sync"
 	"time"
 
 	"github.com/basilrail/basilrail/internal/bootclock"
+	"github.com/basilrail/basilrail/internal/brittle"
 	"github.com/basilrail/basilrail/internal/fleet"
+	"github.com/basilrail/basilrail/internal/loadreport"
 	"github.com/basilrail/basilrail/internal/metrics"
 	"github.com/basilrail/basilrail/internal/peers/membus"
 	"github.com/basilrail/basilrail/internal/poison"
@@ -58,6 +62,18 @@
 	crashes map[uint64][]time.Time
 	sends   map[uint64][]time.Time
 	sound   []*simOutcome
+	// slots, if set, is the number of requests that a server runs at once, and queue the
+	// number that may wait there. brittle, if set, is the number of rejections a second above
+	// which one falls over; they announce it from brittleSince on. silentUntil is the end of
+	// the time in which no server sends anything.
+	slots, queue int
+	// domains is the number of failure domains; zero for a single one.
+	domains      int
+	brittle      float64
+	brittleSince time.Time
+	silentUntil  time.Time
+	// falls are when servers fell over.
+	falls []time.Time
 }
 
 // simInstance is one instance; it is replaced when it restarts.
@@ -79,6 +95,10 @@
 	arrivals []simArrival
 	// crashed is closed at the end of the process.
 	crashed chan struct{}
+	// active is the number of requests that it runs or has waiting, rejections when it turned
+	// some away.
+	active     int
+	rejections []time.Time
 }
 
 func newSimServer(id string) *simServer {
@@ -104,23 +124,47 @@
 type simRequestKey struct{}
 
 func newSimFleet(instances, servers int, seed uint64, deadly ...uint64) *simFleet {
+	return newSimFleetOf(simFleetOptions{instances: instances, servers: servers, seed: seed, deadly: deadly})
+}
+
+// simFleetOptions describe a simulated fleet.
+type simFleetOptions struct {
+	instances, servers int
+	// slots is the number of requests that a server runs at once; zero for no limit.
+	slots int
+	// domains is the number of failure domains; zero for a single one.
+	domains int
+	seed    uint64
+	deadly  []uint64
+}
+
+func newSimFleetOf(o simFleetOptions) *simFleet {
 	f := &simFleet{
-		network: membus.New(), size: instances, deadly: deadly, records: &simRecords{began: time.Now()}, rng: rand.New(rand.NewPCG(seed, 7)), servers: make(map[string]*simServer),
+		network: membus.New(), size: o.instances, deadly: o.deadly, slots: o.slots, domains: o.domains, records: &simRecords{began: time.Now()}, rng: rand.New(rand.NewPCG(o.seed, 7)), servers: make(map[string]*simServer),
 		crashes: make(map[uint64][]time.Time), sends: make(map[uint64][]time.Time),
 	}
-	for range servers {
+	for range o.servers {
 		f.next++
 		id := fmt.Sprint("s", f.next)
 		f.servers[id] = newSimServer(id)
 	}
-	for i := range instances {
+	for i := range o.instances {
 		f.instances = append(f.instances, f.newInstance(simName(i)))
 	}
 	return f
 }
 
-func simRegistration(id string) fleet.Registration {
-	return fleet.Registration{ID: id, Service: "models", Address: id + ":1", FailureDomain: "here", Slots: 64}
+func (f *simFleet) registration(id string) fleet.Registration {
+	return fleet.Registration{ID: id, Service: "models", Address: id + ":1", FailureDomain: f.domainOf(id), Slots: cmp.Or(f.slots, 64)}
+}
+
+// domainOf returns the failure domain of an instance or a server, by the number in its name.
+func (f *simFleet) domainOf(name string) string {
+	number, err := strconv.Atoi(name[1:])
+	if err != nil || f.domains == 0 {
+		return "here"
+	}
+	return fmt.Sprint("z", number%f.domains)
 }
 
 // newInstance starts an instance that knows nothing of earlier crashes.
@@ -136,11 +180,12 @@
 		}},
 	}))
 	state.Confirm(bootclock.Time(time.Hour))
-	set := fleet.NewSet("here", nil)
+	domain := f.domainOf(name)
+	set := fleet.NewSet(domain, nil)
 	for id := range f.servers {
-		set.Put(simRegistration(id))
+		set.Put(f.registration(id))
 	}
-	bus := f.network.Join(name, "here")
+	bus := f.network.Join(name, domain)
 	seed := f.rng.Uint64()
 	tracker := quarantine.NewDisconnectTracker(bus, nil)
 	go tracker.Run(ctx)
@@ -150,12 +195,18 @@
 	limits := requestlimit.New(requestlimit.Options{
 		Bus: bus, Fleet: set, Others: func() ([]string, bool) { return f.others(name), true }, Clock: f.records.Now,
 	})
+	room := brittle.New(brittle.Options{
+		Bus: bus, Fleet: set, IsListed: func() bool { return true }, FailureDomain: domain, Limits: limits,
+	})
+	if f.slots > 0 {
+		go loadreport.New(bus, set).Run(ctx)
+	}
 	d := New(Options{
 		Poison:  guard,
-		Routing: state, Fleet: set, Transport: &simTransport{fleet: f, instance: name, limits: limits}, Releases: noReleases{},
-		Disconnects: tracker, Limits: limits,
+		Routing: state, Fleet: set, Transport: &simTransport{fleet: f, instance: name, limits: limits, brittle: room}, Releases: noReleases{},
+		Disconnects: tracker, Limits: room,
 		Budgets:       retry.NewBudgets(retry.Limit{Ratio: 0.9, Slack: 100, Window: 10 * time.Second}, func() int { return 1 }),
-		FailureDomain: "here", Seed: seed, Metrics: metrics.New(metrics.Sources{}),
+		FailureDomain: domain, Seed: seed, Metrics: metrics.New(metrics.Sources{}),
 	})
 	return &simInstance{name: name, d: d, stop: stop}
 }
@@ -182,12 +233,17 @@
 
 // restart replaces all instances by new ones of the same names.
 func (f *simFleet) restart() {
+	for n := range f.size {
+		f.restartOne(n)
+	}
+}
+
+func (f *simFleet) restartOne(n int) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	for i, old := range f.instances {
-		old.stop()
-		f.instances[i] = f.newInstance(old.name)
-	}
+	old := f.instances[n]
+	old.stop()
+	f.instances[n] = f.newInstance(old.name)
 }
 
 // crash ends a server, by a request with a deadly part or, if that is zero, for another
@@ -211,7 +267,7 @@
 		id := fmt.Sprint("s", f.next)
 		f.servers[id] = newSimServer(id)
 		f.mu.Unlock()
-		f.each(func(set *fleet.Set) { set.Put(simRegistration(id)) })
+		f.each(func(set *fleet.Set) { set.Put(f.registration(id)) })
 	})
 }
 
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -135,6 +135,7 @@
 func (noLimits) MaySend(string) bool       { return true }
 func (noLimits) Next(string) time.Duration { return 0 }
 func (noLimits) Take(string) bool          { return true }
+func (noLimits) Rejected(*fleet.Server)    {}
 
 // newBudgets returns budgets that allow so many retries a service.
 func newBudgets(retries int) *retry.Budgets {
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -63,13 +63,16 @@
 	Answered(content quarantine.Fingerprint)
 }
 
-// Limits are the limits of requests that backend servers named.
+// Limits are the limits of requests that backend servers named, and the room of those that
+// are brittle.
 type Limits interface {
 	scheduling.Limits
 	// Take reports whether a request may be sent to a server now, and counts it.
 	Take(server string) bool
 	// Next returns how long this instance must not send to a server; zero if it may now.
 	Next(server string) time.Duration
+	// Rejected records that a server turned a request away for lack of room.
+	Rejected(server *fleet.Server)
 }
 
 // Paths tells faults of the links of this instance from faults of servers.
@@ -109,7 +112,7 @@
 	Disconnects DisconnectTracker
 	// Poison finds parts of prompts that crash servers; it may be nil.
 	Poison *poison.Tracker
-	// Limits are the limits of requests that servers named.
+	// Limits bound the requests to servers that are in need.
 	Limits Limits
 	// Paths may be nil: then every fault counts as one of the server.
 	Paths Paths
--- a/internal/dispatch/limits_test.go
+++ b/internal/dispatch/limits_test.go
@@ -8,6 +8,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/basilrail/basilrail/internal/apierror"
+	"github.com/basilrail/basilrail/internal/fleet"
 	"github.com/basilrail/basilrail/internal/retry"
 )
 
@@ -26,6 +27,8 @@
 
 func (l *countedLimits) MaySend(server string) bool { return l.left[server] > 0 }
 
+func (l *countedLimits) Rejected(*fleet.Server) {}
+
 func (l *countedLimits) Take(server string) bool {
 	l.left[server]--
 	return l.left[server] >= 0
--- a/internal/dispatch/pick.go
+++ b/internal/dispatch/pick.go
@@ -4,6 +4,8 @@
 	"slices"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/basilrail/basilrail/internal/events"
 	"github.com/basilrail/basilrail/internal/fleet"
 	"github.com/basilrail/basilrail/internal/prefill"
@@ -50,29 +52,45 @@
 		FailureDomain: x.d.FailureDomain,
 		Now:           now,
 	}
+	reason := NoServer
 	for _, excluded := range x.exclusions(snap, now) {
 		req.Excluded = excluded
-		if server, decision, ok := x.take(snap, release, req); ok {
+		server, decision, err := x.take(snap, release, req)
+		if err == nil {
 			return server, decision, nil
 		}
+		if isLimited(err) {
+			reason = Overloaded
+		}
 	}
 	if refusal := x.pausedRefusal(snap, now); refusal != nil {
 		return nil, scheduling.Decision{}, refusal
 	}
-	return nil, scheduling.Decision{}, &Refusal{Reason: NoServer, Execution: x.execution, RetryAfter: shortRetryAfter}
+	return nil, scheduling.Decision{}, &Refusal{Reason: reason, Execution: x.execution, RetryAfter: shortRetryAfter}
+}
+
+// isLimited reports whether servers were rejected for their limits or for lack of room.
+func isLimited(err error) bool {
+	var none *scheduling.NoServerError
+	return errors.As(err, &none) && slices.ContainsFunc(none.Candidates, func(c scheduling.Candidate) bool {
+		return c.Reason == scheduling.RejectedLimited
+	})
 }
 
 // take picks a server and takes a request from its limit, if it named one. Another request
 // may take the last one first; the server is then rejected in the next round.
-func (x *exchange) take(snap *fleet.Snapshot, release string, req scheduling.Request) (*fleet.Server, scheduling.Decision, bool) {
+func (x *exchange) take(snap *fleet.Snapshot, release string, req scheduling.Request) (*fleet.Server, scheduling.Decision, error) {
 	for {
 		decision, err := x.choose(snap, release, req)
 		if err != nil {
-			return nil, decision, false
+			return nil, decision, err
+		}
+		server, known := snap.Server(decision.Server.ID)
+		if !known {
+			return nil, decision, errors.Errorf("server %s is not in the snapshot", decision.Server.ID)
 		}
-		server, ok := snap.Server(decision.Server.ID)
-		if !ok || x.d.Limits.Take(server.ID) {
-			return server, decision, ok
+		if x.d.Limits.Take(server.ID) {
+			return server, decision, nil
 		}
 	}
 }
--- a/internal/dispatch/simserver_test.go
+++ b/internal/dispatch/simserver_test.go
@@ -4,8 +4,10 @@
 	"context"
 	"io"
 	"net/http"
+	"sync"
 	"time"
 
+	"github.com/basilrail/basilrail/internal/brittle"
 	"github.com/basilrail/basilrail/internal/requestlimit"
 	"github.com/basilrail/basilrail/internal/retry"
 )
@@ -15,6 +17,7 @@
 	fleet    *simFleet
 	instance string
 	limits   *requestlimit.Limits
+	brittle  *brittle.Guard
 }
 
 // noteLimit passes on the limit that the answer of a server names.
@@ -53,8 +56,14 @@
 	}
 	outcome, _ := ctx.Value(simRequestKey{}).(*simOutcome)
 	isFirst := f.countAttempt(outcome)
-	answer := &simAnswer{ctx: ctx, server: server, attempt: a, events: events, head: Head{Status: http.StatusOK, Stream: true, Confidence: confidence}}
-	if err := answer.sleep(delay); err != nil {
+	if !f.enter(server) {
+		t.noteBrittle(a)
+		return nil, NewSendError(retry.OutcomeNoCapacity, errTest)
+	}
+	answer := &simAnswer{fleet: f, ctx: ctx, server: server, attempt: a, events: events, head: Head{Status: http.StatusOK, Stream: true, Confidence: confidence}}
+	answer.leave = sync.OnceFunc(func() { f.leave(server) })
+	if err := answer.sleep(f.delayed(delay)); err != nil {
+		answer.Close()
 		return nil, err
 	}
 	if deadly != 0 {
@@ -67,6 +76,7 @@
 	}
 	a.Server.RecordReceived()
 	t.noteLimit(a, server)
+	t.noteBrittle(a)
 	return answer, nil
 }
 
@@ -83,11 +93,14 @@
 
 // simAnswer is a stream of a simulated server.
 type simAnswer struct {
+	fleet   *simFleet
 	ctx     context.Context
 	server  *simServer
 	attempt *Attempt
 	head    Head
 	events  int
+	// leave frees the place at the server.
+	leave func()
 }
 
 // sleep waits for the server; it returns an error if the server crashes or the context ends.
@@ -106,13 +119,13 @@
 
 func (s *simAnswer) Head() Head            { return s.head }
 func (s *simAnswer) Body() ([]byte, error) { return nil, errTest }
-func (s *simAnswer) Close()                {}
+func (s *simAnswer) Close()                { s.leave() }
 
 func (s *simAnswer) Next() (Event, error) {
 	if s.events == 0 {
 		return Event{}, io.EOF
 	}
-	if err := s.sleep(simEventGap); err != nil {
+	if err := s.sleep(s.fleet.delayed(simEventGap)); err != nil {
 		return Event{}, err
 	}
 	s.events--
--- a/internal/events/servers.go
+++ b/internal/events/servers.go
@@ -112,6 +112,15 @@
 		Message: "how this instance reaches the backend servers of the service in path; outcome is direct, relayed (other instances connect to them for this one) or cut_off",
 		Action:  "For relayed and cut_off, check the network between this instance and the servers. If all instances are cut_off, check the servers.",
 	})
+	ServerBrittle = register(Event{
+		Number: 6026, Name: "server_brittle", Level: logrus.WarnLevel,
+		Message: "a backend server announced in an answer, here or to the instance in peer, that it falls over if it has to turn away more than rate requests in a second; it gets no more than it has room for",
+		Action:  "The server is in need: check its own logs, and whether the service lacks capacity.",
+	})
+	ServerBrittleEnded = register(Event{
+		Number: 6027, Name: "server_brittle_ended", Level: logrus.InfoLevel,
+		Message: "a backend server no longer announces that it is brittle",
+	})
 	RelayRefused = register(Event{
 		Number: 6028, Name: "relay_refused", Level: logrus.InfoLevel,
 		Message: "the instance in peer did not connect to the backend server for this one, for the reason in error; another one is asked",
--- a/internal/fleet/health.go
+++ b/internal/fleet/health.go
@@ -44,6 +44,8 @@
 	// reported it as unresponsive.
 	receivedAt time.Time
 	reportedAt time.Time
+	// busySince is when a request was last sent while none was in flight.
+	busySince time.Time
 	// failedAt is when an attempt last failed.
 	failedAt time.Time
 }
@@ -82,6 +84,31 @@
 	s.health.receivedAt = now
 }
 
+// SilentFor returns how long the server has sent nothing to this instance while a request of
+// it was in flight; zero if none is.
+func (s *Server) SilentFor() time.Duration {
+	if s.OwnLoad().Requests == 0 {
+		return 0
+	}
+	s.health.mu.Lock()
+	defer s.health.mu.Unlock()
+	since := s.health.receivedAt
+	if s.health.busySince.After(since) {
+		since = s.health.busySince
+	}
+	return time.Since(since)
+}
+
+// RecordSent records that a request is sent to the server.
+func (s *Server) RecordSent() {
+	if s.OwnLoad().Requests > 0 {
+		return
+	}
+	s.health.mu.Lock()
+	defer s.health.mu.Unlock()
+	s.health.busySince = time.Now()
+}
+
 // RecordUnresponsive records that the server is unreachable or has sent nothing for a
 // long time, and reports whether it is now ejected. It is ejected at once unless other
 // requests received bytes from it within responsiveWindow.
--- a/internal/peers/bus.go
+++ b/internal/peers/bus.go
@@ -88,6 +88,13 @@
 // servers the sender can't connect to.
 const KindServerPath Kind = 36
 
+// KindServerBrittle reports that a backend server announced in an answer that it falls over if
+// it has to turn many requests away, or that it doesn't any more.
+const KindServerBrittle Kind = 37
+
+// KindServerFull reports a brittle backend server that turned a request away for lack of room.
+const KindServerFull Kind = 38
+
 // KindCommit requests that a peer commit a transaction to the table service.
 const KindCommit Kind = 24
 
@@ -129,8 +136,8 @@
 	// Broadcast sends a message to every instance at best effort, directly or
 	// relayed. In a fleet too large to be fully connected, only KindSettingsHint,
 	// KindSuspension, KindSuspect, KindServerState, KindTableChange,
-	// KindUpgradeEvidence, KindCrashingContent, KindServerLeaving, KindRequestLimit and
-	// KindPromptCrash go beyond the neighbours.
+	// KindUpgradeEvidence, KindCrashingContent, KindServerLeaving, KindRequestLimit,
+	// KindPromptCrash, KindServerBrittle and KindServerFull go beyond the neighbours.
 	Broadcast(kind Kind, body any)
 	// Request sends a message to one peer and decodes the answer into reply, unless
 	// reply is nil.
--- a/internal/peers/mesh/envelope.go
+++ b/internal/peers/mesh/envelope.go
@@ -113,7 +113,8 @@
 			return 2
 		}
 		return maxHops
-	case peers.KindTableChange, peers.KindUpgradeEvidence, peers.KindCrashingContent, peers.KindServerLeaving, peers.KindRequestLimit, peers.KindPromptCrash:
+	case peers.KindTableChange, peers.KindUpgradeEvidence, peers.KindCrashingContent, peers.KindServerLeaving, peers.KindRequestLimit, peers.KindPromptCrash,
+		peers.KindServerBrittle, peers.KindServerFull:
 		if fullMesh {
 			return 1
 		}
