modelcommands: Drop commands that wait for a connection past the lease

A command that waited for its connection while the lease ended was sent after the next holder's: around a hand-over, commands of both went out. The fencing number only helps with servers that check it.

The context of a command ends with the lease until the request has been written.

--- a/internal/modelcommands/issuer.go
+++ b/internal/modelcommands/issuer.go
@@ -197,9 +197,12 @@
 	return true
 }
 
-// dispatch sends one command. If the server rejects its fencing number, this instance
-// gives up the lease.
+// dispatch sends one command, unless it still waits for a connection when this instance no
+// longer holds the lease. If the server rejects its fencing number, this instance gives up the
+// lease.
 func (i *Issuer) dispatch(ctx context.Context, address string, number uint64, cmd Command) {
+	ctx, stop := i.lease.untilSent(ctx, number)
+	defer stop()
 	err := send(ctx, i.client, address, number, cmd)
 	i.mu.Lock()
 	delete(i.inFlight, cmd)
--- a/internal/modelcommands/lease.go
+++ b/internal/modelcommands/lease.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http/httptrace"
 	"sync"
 	"time"
 
@@ -71,6 +72,38 @@
 	return l.seen.Fencing, true
 }
 
+// remaining returns how long this instance still holds the lease under a fencing number unless
+// it renews it; zero if it does not hold it.
+func (l *Lease) remaining(number uint64) time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.seen.Fencing != number {
+		return 0
+	}
+	return max(0, time.Until(l.validUntil))
+}
+
+// untilSent returns a context for one HTTP request under a fencing number. It ends when the
+// lease does, unless the request has been sent by then. Stop releases its resources.
+func (l *Lease) untilSent(ctx context.Context, number uint64) (_ context.Context, stop func()) {
+	ctx, cancel := context.WithCancel(ctx)
+	isSent := make(chan struct{})
+	trace := &httptrace.ClientTrace{WroteHeaders: sync.OnceFunc(func() { close(isSent) })}
+	go func() {
+		for left := l.remaining(number); left > 0; left = l.remaining(number) {
+			select {
+			case <-isSent:
+				return
+			case <-ctx.Done():
+				return
+			case <-time.After(left):
+			}
+		}
+		cancel()
+	}()
+	return httptrace.WithClientTrace(ctx, trace), cancel
+}
+
 // Drop stops the use of the lease without writing to the store. It is called when a
 // server has seen a higher fencing number.
 func (l *Lease) Drop() {
--- a/internal/modelcommands/modelcommands_test.go
+++ b/internal/modelcommands/modelcommands_test.go
@@ -1,13 +1,16 @@
 package modelcommands
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
 	"io"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -16,6 +19,7 @@
 
 	"github.com/basilrail/basilrail/internal/bubble"
 	"github.com/basilrail/basilrail/internal/datastore"
+	"github.com/basilrail/basilrail/internal/memnet"
 	"github.com/basilrail/basilrail/internal/settings"
 	"github.com/basilrail/basilrail/internal/tablestore/memtable"
 )
@@ -230,6 +234,45 @@
 	}
 }
 
+// Guards against commands of two holders at a hand-over: one that waited for a connection while
+// the lease ended was sent after its successor's.
+func TestCommandThatWaitsForAConnectionEndsWithTheLease(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
+		const n, connectsAfter = 2, 30 * time.Second
+		var late atomic.Int64
+		network := memnet.New()
+		for i := range n {
+			listener, err := network.Listen(address(i))
+			require.NoError(t, err)
+			server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { late.Add(1) })}
+			go func() { _ = server.Serve(listener) }()
+			defer server.Close()
+		}
+		slow := &http.Transport{DialContext: func(ctx context.Context, protocol, addr string) (net.Conn, error) {
+			time.Sleep(connectsAfter)
+			return network.Dial(ctx, protocol, addr)
+		}}
+		defer slow.CloseIdleConnections()
+		table, store, e := memtable.New(), newStore(n), newFakeServers(n, false)
+		report(store, e, n)
+		earlier := New(Options{
+			Table: table, Store: store, Client: &http.Client{Transport: slow}, Self: "earlier",
+			FleetSize: func() int { return 2 }, Rand: rand.New(rand.NewPCG(1, 1)),
+		})
+		require.NoError(t, earlier.lease.Step(t.Context()))
+		earlier.dispatchDue(t.Context())
+		later := New(Options{
+			Table: table, Store: store, Client: &http.Client{Transport: e}, Self: "later",
+			FleetSize: func() int { return 2 }, Rand: rand.New(rand.NewPCG(2, 2)),
+		})
+		go later.Run(t.Context())
+		time.Sleep(connectsAfter + time.Minute)
+		require.True(t, later.HoldsLease())
+		require.NotEmpty(t, e.versions(0))
+		require.Zero(t, late.Load(), "commands of the earlier holder after the hand-over")
+	})
+}
+
 // TestUnloadWaitsForInFlightRequests checks that a withdrawn version is unloaded only
 // after unloadAfter, when no request can be in flight on it.
 func TestUnloadWaitsForInFlightRequests(t *testing.T) {
