storefeed: Await a change that was overtaken before reading the store

Readers that start together broadcast at the same time. An instance that received a change before the one it is based on read the store, so at some starts all instances read.

It now awaits the overtaken change for as long as readers stagger their broadcasts.

--- a/internal/storefeed/messages.go
+++ b/internal/storefeed/messages.go
@@ -13,6 +13,10 @@
 	"github.com/basilrail/basilrail/internal/wait"
 )
 
+// overtakenWait is how long the changes that a later one overtook are awaited until the store
+// is read. A message reaches all instances in less.
+const overtakenWait = publishStagger
+
 // maxRelayedBytes bounds the rows of one message, because a message reaches each
 // instance over several links. Larger changes are read from the store instead.
 const maxRelayedBytes = 6 << 10
@@ -153,6 +157,10 @@
 func (t *table) mergeChange(m change) {
 	rows, complete := t.decodeRows(m)
 	if t.position.Before(m.Position) && (m.Partial || !t.continues(m) || !complete) {
+		if !m.Partial && t.position.Before(m.Base) {
+			t.awaitOvertaken(m.Position)
+			return
+		}
 		t.behind = true
 		t.wakeUp()
 		return
@@ -166,6 +174,28 @@
 	t.confirm(time.Duration(m.Now))
 }
 
+// awaitOvertaken reads the store later, unless the changes before a position arrive until then.
+// Readers broadcast at the same time, so that one that has applied another's change may overtake
+// it. The caller holds the lock.
+func (t *table) awaitOvertaken(position Position) {
+	if t.ahead.Before(position) {
+		t.ahead = position
+	}
+	if t.awaited {
+		return
+	}
+	t.awaited = true
+	time.AfterFunc(overtakenWait, func() {
+		t.mu.Lock()
+		defer t.mu.Unlock()
+		t.awaited = false
+		if t.position.Before(t.ahead) {
+			t.behind = true
+			t.wakeUp()
+		}
+	})
+}
+
 // continues reports whether a change can be applied to the known position. A change over
 // a gap or into a later era is the difference between the sender's rows and those at its
 // base, so it does not contain rows that were added and deleted in between. The caller holds the lock.
--- a/internal/storefeed/table.go
+++ b/internal/storefeed/table.go
@@ -59,6 +59,10 @@
 	gapAfter Position
 	// behind means that a peer has a later revision.
 	behind bool
+	// ahead is the latest position of a peer's change that overtook others, awaited is set
+	// while these are awaited.
+	ahead   Position
+	awaited bool
 	// lastContact is when the table was last confirmed, by the store or by a peer.
 	lastContact time.Time
 	// outageEnd is when the table was confirmed again after an outage.
