storefeed: Check at random intervals whether to join the readers

Cause: instances that start together checked every 100 ms, at the same instants, whether to join the store's readers, which undid the random delay before it.

The interval is random. TestInstancesThatStartTogetherDoNotJoinTogether failed before (7 readers at once, 4 allowed).

--- a/internal/storefeed/table.go
+++ b/internal/storefeed/table.go
@@ -21,8 +21,8 @@
 	// together. It is counted from connectTime on: before, they are not connected to each
 	// other yet.
 	initialJoinJitter = 2 * time.Second
-	// idlePollInterval is how often an instance that does not read checks whether it
-	// should.
+	// idlePollInterval is the mean interval at which an instance that does not read checks
+	// whether it should.
 	idlePollInterval = 100 * time.Millisecond
 	// outageThreshold is the time without confirmation by the store or a peer after
 	// which entries of servers may have expired; they expire after three missed
@@ -134,9 +134,11 @@
 	return true
 }
 
-// idle waits until a peer reports a change that needs a read, or for idlePollInterval.
+// idle waits until a peer reports a change that needs a read, or for about
+// idlePollInterval. The interval is random, so that instances that started together do not
+// check, and join, at the same instants.
 func (t *table) idle(ctx context.Context) {
-	timer := time.NewTimer(idlePollInterval)
+	timer := time.NewTimer(idlePollInterval/2 + rand.N(idlePollInterval))
 	defer timer.Stop()
 	select {
 	case <-ctx.Done():
