--- a/internal/poison/evidence.go
+++ b/internal/poison/evidence.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"fmt"
 	"maps"
 	"slices"
 	"time"
@@ -101,6 +102,20 @@
 	c.requests = append(c.requests, requests[:min(len(requests), maxRequestsPerCrash-len(c.requests))]...)
 }
 
+// addRecorded adds crashes for a recorded verdict on the parts whose own crashes are not known
+// here, as after a restart of all instances. With them the next crash of a request that has only
+// some of the parts shows which one is the cause.
+func (e *evidence) addRecorded(parts partSet, from time.Time) {
+	for _, c := range e.crashes {
+		if c.isExplainedBy(parts) {
+			return
+		}
+	}
+	for n := range newPartCrashes {
+		e.addCrash(fmt.Sprintf("record %s, crash %d", parts, n), from.Add(time.Duration(n)*separateCrashes), []partSet{parts})
+	}
+}
+
 func (e *evidence) dropOldest() {
 	if len(e.crashes) <= maxCrashes {
 		return
--- a/internal/poison/records.go
+++ b/internal/poison/records.go
@@ -116,6 +116,9 @@
 			continue
 		}
 		v.record = r
+		if time.Since(from) < evidenceLifetime {
+			t.evidence.addRecorded(parts, from)
+		}
 	}
 	if !complete {
 		return
