--- a/internal/events/upgrades.go
+++ b/internal/events/upgrades.go
@@ -24,6 +24,6 @@
 	})
 	UpgradeShareChanged = register(Event{
 		Number: 5105, Name: "upgrade_share_changed", Level: logrus.InfoLevel,
-		Message: "the share of the requests that may run on an upgrade's new release changed at this instance; count and bad are the fleet's answers of the release so far and the bad ones among them",
+		Message: "the share of the requests that may run on an upgrade's new release changed at this instance; count and bad are the fleet's answers of the release so far and the bad ones among them, reason the bad answers by criterion, those of the old release in parentheses",
 	})
 )
--- a/internal/upgrade/step.go
+++ b/internal/upgrade/step.go
@@ -209,9 +209,11 @@
 		return
 	}
 	u.loggedShare = share
-	answers := c.evidence.byService[u.upgrade.Service].newAnswers()
+	counts := c.evidence.byService[u.upgrade.Service].totals()
+	answers := counts[evidenceKey{Variant: variantNew}]
 	c.Log.Log(events.UpgradeShareChanged, events.Fields{
 		Path: u.upgrade.Service, Version: u.upgrade.To, Share: share, Count: int(answers.Answers), Bad: int(answers.bad()),
+		Reason: counts.summary(),
 	})
 }
 
--- a/internal/upgrade/verdict.go
+++ b/internal/upgrade/verdict.go
@@ -1,6 +1,10 @@
 package upgrade
 
-import "math"
+import (
+	"fmt"
+	"math"
+	"strings"
+)
 
 const (
 	// stopThreshold is the log likelihood ratio at which the new release is bad. Within
@@ -167,6 +171,19 @@
 	}
 }
 
+// summary returns the bad answers and all answers of the new release, and those of the old one
+// in parentheses, by criterion.
+func (r routeCounts) summary() string {
+	var parts []string
+	for i := range criteria {
+		k := &criteria[i]
+		bad, all := k.of(r[evidenceKey{Variant: variantNew}])
+		oldBad, oldAll := k.of(r.old(""))
+		parts = append(parts, fmt.Sprintf("%s %d/%d (%d/%d)", k.name, bad, all, oldBad, oldAll))
+	}
+	return strings.Join(parts, ", ")
+}
+
 // badness returns the highest badness of all criteria on all routes together and on each
 // main route.
 func (r routeCounts) badness() float64 {
