--- a/internal/upgrade/exposure_test.go
+++ b/internal/upgrade/exposure_test.go
@@ -117,6 +117,8 @@
 	badAnswers []time.Duration
 	// sent are the times of the requests to the new release.
 	sent []time.Duration
+	// underWay are the requests without a complete answer.
+	underWay sync.WaitGroup
 }
 
 func (s *simulation) route() simRoute {
@@ -159,7 +161,7 @@
 			failed = failed || s.defect.slowdown == 0
 		}
 	}
-	go func() {
+	s.underWay.Go(func() {
 		time.Sleep(time.Duration(latency) + route.duration)
 		if isBad {
 			s.mu.Lock()
@@ -167,7 +169,7 @@
 			s.mu.Unlock()
 		}
 		c.Observe(dispatch.Observation{Service: service, Release: release, Route: route.name, Failed: failed, Latency: time.Duration(latency)})
-	}()
+	})
 }
 
 // play sends the traffic for a time.
@@ -190,8 +192,7 @@
 	}
 	s.play(s.duration+8*time.Second, next)
 	s.fleet.stop()
-	// The answers that are still under way.
-	time.Sleep(time.Minute)
+	s.underWay.Wait()
 	return s
 }
 
