upgrade: Judge with the usual rate of failures, and use more of the exposure

The old release's rate counts as at least the usual one, each criterion has its own threshold, and the canary uses up to 0.8 of the exposure instead of 0.6.

The fault stays open.

--- a/internal/upgrade/exposure_test.go
+++ b/internal/upgrade/exposure_test.go
@@ -221,6 +221,52 @@
 	}
 }
 
+// TestBadReleaseOfASmallServiceIsReverted guards against a bad release that is completed because
+// its canary has too few answers, though the allowed exposure would permit more.
+func TestBadReleaseOfASmallServiceIsReverted(t *testing.T) {
+	for _, test := range []struct {
+		defect string
+		seeds  []uint64
+	}{
+		{"a third fail", []uint64{1059, 1085}},
+		{"a third slow", []uint64{1059, 1085}},
+		{"one route fails", []uint64{1013, 1026, 1031, 1066, 1085, 1093}},
+	} {
+		worse := defects[slices.IndexFunc(defects, func(d defect) bool { return d.name == test.defect })]
+		for _, seed := range test.seeds {
+			t.Run(fmt.Sprintf("%s, seed %d", test.defect, seed), func(t *testing.T) {
+				bubble.Test(t, func(t *testing.T) {
+					s := simulate(t, plainService, &worse, seed)
+					assert.LessOrEqual(t, float64(s.newer), testExposure.Share*float64(s.all)+testExposure.Slack, "requests to the bad release of %d", s.all)
+					assert.Equal(t, statechart.UpgradeReverted, s.fleet.records.current().State)
+				})
+			})
+		}
+	}
+}
+
+// TestBadReleaseWithWeakEvidenceIsReverted guards against a bad release that is completed because
+// the answers of its canary differ too little from those of the old release.
+func TestBadReleaseWithWeakEvidenceIsReverted(t *testing.T) {
+	for _, test := range []struct {
+		service simService
+		defect  string
+		seed    uint64
+	}{
+		{plainService, "one route fails", 1011},
+		{plainService, "one route fails", 1019},
+		{modelService, "a third slow", 1056},
+	} {
+		worse := defects[slices.IndexFunc(defects, func(d defect) bool { return d.name == test.defect })]
+		t.Run(fmt.Sprintf("%s, seed %d", test.defect, test.seed), func(t *testing.T) {
+			bubble.Test(t, func(t *testing.T) {
+				s := simulate(t, test.service, &worse, test.seed)
+				assert.Equal(t, statechart.UpgradeReverted, s.fleet.records.current().State)
+			})
+		})
+	}
+}
+
 // TestReleaseBadOnlyUnderLoadIsReverted guards against a release that is completed because
 // its canary has too little load to show what is bad about it.
 func TestReleaseBadOnlyUnderLoadIsReverted(t *testing.T) {
@@ -266,3 +312,23 @@
 		assert.LessOrEqual(t, stopped, 1, "%s: good releases that were not completed, of %d", name, seeds)
 	}
 }
+
+// TestCleanRecordOfTheOldReleaseCondemnsNoRelease guards against a good release that is
+// stopped for one or two bad answers because the old one happened to have none.
+func TestCleanRecordOfTheOldReleaseCondemnsNoRelease(t *testing.T) {
+	for _, test := range []struct {
+		name       string
+		old, newer answerCounts
+		leansBad   bool
+	}{
+		{"one failure of six", answerCounts{Answers: 132}, answerCounts{Answers: 6, Failed: 1}, false},
+		{"two outliers of 27", answerCounts{Answers: 266, Timed: 266}, answerCounts{Answers: 27, Timed: 27, Outliers: 2}, false},
+		{"four failures of eleven", answerCounts{Answers: 105, Failed: 2}, answerCounts{Answers: 11, Failed: 4}, true},
+		{"seven outliers of 34", answerCounts{Answers: 371, Timed: 371, Outliers: 3}, answerCounts{Answers: 34, Timed: 34, Outliers: 7}, true},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			counts := routeCounts{{Route: "r"}: test.old, {Route: "r", Variant: variantNew}: test.newer}
+			assert.Equal(t, test.leansBad, counts.withTotals().leanBad())
+		})
+	}
+}
--- a/internal/upgrade/move.go
+++ b/internal/upgrade/move.go
@@ -2,7 +2,7 @@
 
 const (
 	// canaryExposure is the part of the allowed exposure that the canary may use.
-	canaryExposure = 0.6
+	canaryExposure = 0.8
 	// maxAllowedShare bounds the allowed exposure as a share of the requests, for services
 	// with fewer requests than the slack.
 	maxAllowedShare = 0.3
@@ -88,7 +88,7 @@
 // leansBad reports whether the evidence is against the new release, though it may not
 // suffice to stop it.
 func (u *upgradeState) leansBad(counts routeCounts) bool {
-	return u.verdict.suspicion >= suspicionThreshold || counts.badness() >= leaning
+	return u.verdict.suspicion >= suspicionThreshold || counts.leanBad()
 }
 
 // move lets all requests run on the new release. The caller holds the lock.
--- a/internal/upgrade/verdict.go
+++ b/internal/upgrade/verdict.go
@@ -27,8 +27,6 @@
 	// minOldAnswers is the number of the old release's answers from which the rate of
 	// requests is known.
 	minOldAnswers = 20
-	// leaning is the badness from which the evidence is not good.
-	leaning = 3.5
 )
 
 // alternatives are the rates tested against a limit, as fractions of the way from the
@@ -47,24 +45,27 @@
 	// in the canary and while requests move. Then the load moves to the new servers,
 	// which raises the latencies there.
 	canaryMargin, moveMargin float64
+	// leaning is the badness from which the evidence is not good: higher for latencies,
+	// whose quantiles come from few samples.
+	leaning float64
 }
 
 var criteria = [...]criterion{
 	{
 		name: "failures", of: func(c answerCounts) (bad, all uint64) { return c.Failed, c.Answers },
-		usual: 0.03, typical: 0.3, canaryMargin: 0.07, moveMargin: 0.07,
+		usual: 0.03, typical: 0.3, canaryMargin: 0.07, moveMargin: 0.07, leaning: 3.5,
 	},
 	{
 		name: "slow answers", of: func(c answerCounts) (bad, all uint64) { return c.Slow, c.Timed },
-		usual: 1 - slowQuantile, typical: 0.6, canaryMargin: 0.12, moveMargin: 0.3,
+		usual: 1 - slowQuantile, typical: 0.6, canaryMargin: 0.12, moveMargin: 0.3, leaning: 4.5,
 	},
 	{
 		name: "outliers", of: func(c answerCounts) (bad, all uint64) { return c.Outliers, c.Timed },
-		usual: 0.03, typical: 0.3, canaryMargin: 0.07, moveMargin: 0.2,
+		usual: 0.03, typical: 0.3, canaryMargin: 0.07, moveMargin: 0.2, leaning: 4.0,
 	},
 	{
 		name: "very slow answers", of: func(c answerCounts) (bad, all uint64) { return c.VerySlow, c.Timed },
-		usual: 1 - verySlowQuantile, typical: 0.35, canaryMargin: 0.1, moveMargin: 0.25,
+		usual: 1 - verySlowQuantile, typical: 0.35, canaryMargin: 0.1, moveMargin: 0.25, leaning: 4.5,
 	},
 }
 
@@ -74,13 +75,17 @@
 	return min((float64(bad)+priorWeight*k.usual)/(float64(all)+priorWeight), maxRate)
 }
 
+// acceptableRate returns the bad rate that a release as good as the old one may have: at least
+// the usual one, because the old release may have failed seldom by chance.
+func (k *criterion) acceptableRate(old answerCounts) float64 { return max(k.rate(old), k.usual) }
+
 // limit returns the bad rate up to which the new release is good.
 func (k *criterion) limit(old answerCounts, moving bool) float64 {
 	margin := k.canaryMargin
 	if moving {
 		margin = k.moveMargin
 	}
-	return min(max(k.rate(old), k.usual)+margin, maxRate)
+	return min(k.acceptableRate(old)+margin, maxRate)
 }
 
 // logRatio returns the log likelihood ratio of answers between two bad rates.
@@ -92,7 +97,7 @@
 // badness returns the log likelihood ratio of the new release's answers between a bad
 // release and one like the old one.
 func (k *criterion) badness(newer, old answerCounts) float64 {
-	rate := k.rate(old)
+	rate := k.acceptableRate(old)
 	bad := min(max(k.typical, rate+minRateDifference), (1+maxRate)/2)
 	return k.logRatio(newer, bad, rate)
 }
@@ -184,17 +189,19 @@
 	return strings.Join(parts, ", ")
 }
 
-// badness returns the highest badness of all criteria on all routes together and on each
-// main route.
-func (r routeCounts) badness() float64 {
-	highest := math.Inf(-1)
+// leanBad reports whether the badness by any criterion is at least its leaning, on all routes
+// together or on a main route.
+func (r routeCounts) leanBad() bool {
 	for key, old := range r {
 		if key.Variant != variantOld || float64(old.Answers) < mainRouteShare*float64(r.old("").Answers) {
 			continue
 		}
+		newer := r[evidenceKey{Route: key.Route, Variant: variantNew}]
 		for i := range criteria {
-			highest = max(highest, criteria[i].badness(r[evidenceKey{Route: key.Route, Variant: variantNew}], old))
+			if k := &criteria[i]; k.badness(newer, old) >= k.leaning {
+				return true
+			}
 		}
 	}
-	return highest
+	return false
 }
