upgrade: Start an upgrade from the release to which all requests moved

Cause: the old release of an upgrade was the first in the list of servers that isn't the new one. Now the release to which all requests moved is the settled one, and the next upgrade starts from it.

TestUpgradeThatFollowsAMoveStartsFromItsRelease failed before.

--- a/internal/upgrade/upgrade.go
+++ b/internal/upgrade/upgrade.go
@@ -126,7 +126,7 @@
 	rng *rand.Rand
 	// upgrades holds the latest upgrade of each service.
 	upgrades map[string]*upgradeState
-	// settled holds the release of each service without an upgrade, see settledRelease.
+	// settled holds the release of each service outside of upgrades, see settledRelease.
 	settled map[string]string
 	// withdrawn lists by service the targets of earlier upgrades that were judged bad.
 	withdrawn map[string][]string
@@ -233,6 +233,10 @@
 		u.extraDelay = 2 * restoredRecordDelay
 	}
 	c.withdraw(old)
+	if old != nil && old.moved && !old.isWithdrawn() {
+		// All requests run on its release although it was not completed yet.
+		c.settled[upgrade.Service] = old.upgrade.To
+	}
 	c.withdrawn[upgrade.Service] = slices.DeleteFunc(c.withdrawn[upgrade.Service], func(release string) bool { return release == upgrade.To })
 	if old != nil {
 		u.earlier = append(old.earlier, old.upgrade)
@@ -366,15 +370,22 @@
 	return float64(now-u.record.Started) / float64(u.upgrade.Duration)
 }
 
-// oldRelease returns the release that the service had before; empty if its servers
-// report only the new one, or others that were withdrawn.
+// oldRelease returns the release that the service had before: the settled one if it has
+// servers; empty if its servers report only the new one, or others that were withdrawn.
 func (c *Controller) oldRelease(service, to string) string {
+	old := ""
 	for _, release := range c.Fleet.Snapshot().Releases(service) {
-		if release != to && !c.isWithdrawn(service, release) {
+		if release == to || c.isWithdrawn(service, release) {
+			continue
+		}
+		if release == c.settled[service] {
 			return release
 		}
+		if old == "" {
+			old = release
+		}
 	}
-	return ""
+	return old
 }
 
 func (c *Controller) serves(service, release string) bool {
--- a/internal/upgrade/upgrade_test.go
+++ b/internal/upgrade/upgrade_test.go
@@ -343,3 +343,40 @@
 		f.stop()
 	})
 }
+
+// TestUpgradeThatFollowsAMoveStartsFromItsRelease guards against sessions that return to the
+// release before the last when the operator requests the next upgrade shortly before the last
+// one is completed.
+func TestUpgradeThatFollowsAMoveStartsFromItsRelease(t *testing.T) {
+	for _, test := range []struct {
+		name string
+		// elapsed is the time from the first request to the second, old the release from
+		// which the second upgrade then starts.
+		elapsed time.Duration
+		old     string
+	}{
+		{"before the move", 10 * time.Second, oldRelease},
+		{"after the move", 23500 * time.Millisecond, newRelease},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			bubble.Test(t, func(t *testing.T) {
+				f := startFleet(t, 3)
+				f.traffic(3*time.Second, 1, goodAnswer)
+				f.upgrade()
+				f.traffic(time.Second, 2, goodAnswer)
+				f.records.mu.Lock()
+				f.records.down = true // the first upgrade is never recorded as completed
+				f.records.mu.Unlock()
+				f.traffic(test.elapsed-time.Second, 3, goodAnswer)
+				for i, c := range f.controllers {
+					f.sets[i].Put(registrations("v3")...)
+					c.Start(Upgrade{Service: service, To: "v3", Duration: 24 * time.Second, Revision: storefeed.Position{Revision: 9}}, false)
+					for n := range 100 {
+						assert.Equal(t, test.old, c.Choose(service, fmt.Sprint("s", n)))
+					}
+				}
+				f.stop()
+			})
+		})
+	}
+}
