upgrade: Keep pinned sessions until the record is stored

Callers would see the release of their session change (PINNED).

Cause, two steps: an instance without a record took its own estimate of the canary's share, and dropped the pins of sessions beyond twice that share, although another instance may store a larger one first. And a message has room for 64 pins: those that did not fit were not sent before the drop. Ruled out: load (virtual time), an expired session (all are younger than 6 s).

Pins are dropped by the stored share only, and those that were not sent yet go first, in further messages.

--- a/internal/upgrade/sessions.go
+++ b/internal/upgrade/sessions.go
@@ -27,7 +27,8 @@
 	// two messages sent for new pins: each instance receives the messages of all.
 	minPinInterval = 10 * time.Millisecond
 	// maxPinsPerMessage bounds the pins in a message: a canary of canaryRate requests
-	// per second has about 50 sessions in the whole fleet.
+	// per second has about 50 sessions in the whole fleet. Further ones follow in the next
+	// messages.
 	maxPinsPerMessage = 64
 )
 
@@ -73,7 +74,7 @@
 	for _, key := range c.recent.Keys() {
 		seen, ok := c.recent.Peek(key)
 		if ok && time.Since(seen.at) < c.sessionTTL() && hashFraction(u.upgrade, key) < maxPinnedShare {
-			u.pins[key], u.hasUnsentPins = seen.at, true
+			u.pins[key], u.hasUnsentPins = pin{seenAt: seen.at}, true
 		}
 	}
 }
@@ -86,20 +87,30 @@
 		return
 	}
 	// An existing pin is refreshed with the next evidence.
-	if _, isPinned := u.pins[key]; !isPinned {
+	p := u.pins[key]
+	if !p.isSent {
 		u.hasUnsentPins = true
 	}
-	u.pins[key] = time.Now()
+	u.pins[key] = pin{seenAt: time.Now(), isSent: p.isSent}
 }
 
-// pinnedShare is the share of sessions that may belong to the canary.
+// pinnedShare is the share of sessions that may belong to the canary. Until the record is
+// stored, that of another instance may set a larger canary than this one would.
 func (u *upgradeState) pinnedShare() float64 {
-	if !u.recordKnown {
+	if !u.stored {
 		return maxPinnedShare
 	}
 	return min(maxPinnedShare, pinShareMargin*u.record.CanaryShare)
 }
 
+// pin is a session that this instance saw on the old release although its hash assigns it to
+// the new one.
+type pin struct {
+	seenAt time.Time
+	// isSent is true if the peers were notified of the session.
+	isSent bool
+}
+
 // sessionPin is a session that the sender saw on the old release.
 type sessionPin struct {
 	Key sessionKey `cbor:"1,keyasint"`
@@ -107,22 +118,30 @@
 	Age int64 `cbor:"2,keyasint"`
 }
 
-// pinsToSend returns at most maxPinsPerMessage pins to send to the peers. It deletes
-// pins that expired or whose session can't belong to the canary. The caller holds the
-// lock.
+// pinsToSend returns at most maxPinsPerMessage pins to send to the peers, those first that
+// were not sent yet. It deletes pins that expired or whose session can't belong to the canary.
+// The caller holds the lock.
 func (c *Controller) pinsToSend(u *upgradeState) []sessionPin {
-	u.hasUnsentPins = false
-	var list []sessionPin
-	for key, at := range u.pins {
-		age := time.Since(at)
-		if age >= c.sessionTTL() || hashFraction(u.upgrade, key) >= u.pinnedShare() {
+	var unsent, sent []sessionPin
+	for key, p := range u.pins {
+		age := time.Since(p.seenAt)
+		switch {
+		case age >= c.sessionTTL() || hashFraction(u.upgrade, key) >= u.pinnedShare():
 			delete(u.pins, key)
-			continue
-		}
-		if len(list) < maxPinsPerMessage {
-			list = append(list, sessionPin{Key: key, Age: age.Milliseconds()})
+		case p.isSent:
+			sent = append(sent, sessionPin{Key: key, Age: age.Milliseconds()})
+		default:
+			unsent = append(unsent, sessionPin{Key: key, Age: age.Milliseconds()})
 		}
 	}
+	u.hasUnsentPins = len(unsent) > maxPinsPerMessage
+	list := append(unsent, sent...)
+	list = list[:min(len(list), maxPinsPerMessage)]
+	for _, session := range list {
+		p := u.pins[session.Key]
+		p.isSent = true
+		u.pins[session.Key] = p
+	}
 	return list
 }
 
--- a/internal/upgrade/upgrade.go
+++ b/internal/upgrade/upgrade.go
@@ -187,10 +187,8 @@
 	evidenceSentAt time.Time
 	sentBad        uint64
 	sentMoved      bool
-	// pins are sessions that this instance saw on the old release although their hash
-	// assigns them to the new one, with the time; they are sent to the peers.
-	pins map[sessionKey]time.Time
-	// hasUnsentPins is true if a session was pinned since pins were last sent.
+	// pins are sent to the peers; hasUnsentPins is true if some were not sent yet.
+	pins          map[sessionKey]pin
 	hasUnsentPins bool
 }
 
@@ -227,7 +225,7 @@
 	if old != nil && (!old.upgrade.Revision.Before(upgrade.Revision) || c.isKnown(old, upgrade, uncertain)) {
 		return
 	}
-	u := &upgradeState{upgrade: upgrade, machine: statechart.NewMachine(c.Chart), pins: make(map[sessionKey]time.Time)}
+	u := &upgradeState{upgrade: upgrade, machine: statechart.NewMachine(c.Chart), pins: make(map[sessionKey]pin)}
 	if uncertain {
 		// Instances that know the record of this upgrade write it again before.
 		u.extraDelay = 2 * restoredRecordDelay
