--- a/internal/asynclog/asynclog.go
+++ b/internal/asynclog/asynclog.go
@@ -90,8 +90,13 @@
 	}
 }
 
-// emit writes a line. Errors are ignored: there is no other place to report them.
-func (w *Writer) emit(line []byte) { _, _ = w.out.Write(line) }
+// emit writes a line. One that can't be written counts as dropped: there is no other place to
+// report the error.
+func (w *Writer) emit(line []byte) {
+	if _, err := w.out.Write(line); err != nil {
+		w.drop()
+	}
+}
 
 func (w *Writer) summarize() {
 	if n := w.dropped.Swap(0); n > 0 {
