dispatch, platform: Log what ends an answer

A stream that ends early was logged alike whether the instance gave a silent server up, or the write to the caller failed or timed out. No logic changes.

--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -22,8 +22,9 @@
 // errServerFailed ends an attempt that the server answered with a failure response.
 var errServerFailed = NewSendError(retry.OutcomeServerError, errors.New("server returned a failure response"))
 
-// errCallerGone ends an attempt whose caller has disconnected.
-var errCallerGone = NewSendError(retry.OutcomeCallerGone, errors.New("caller disconnected"))
+// callerGone returns the error of an attempt whose answer the caller can't receive; cause is that
+// of the failed write.
+func callerGone(cause error) error { return NewSendError(retry.OutcomeCallerGone, cause) }
 
 // runAttempt makes one attempt. It returns nil when the request has its final
 // answer.
@@ -172,14 +173,14 @@
 	p.latency = time.Since(p.started)
 	x.streamStarted, x.status = true, answer.Head().Status
 	x.execution = apierror.DidRun
-	if x.out.Begin(answer.Head()) != nil {
-		return errCallerGone
+	if err := x.out.Begin(answer.Head()); err != nil {
+		return callerGone(err)
 	}
 	if err == io.EOF {
 		return x.endStream()
 	}
-	if x.forwardEvent(event) != nil {
-		return errCallerGone
+	if err := x.forwardEvent(event); err != nil {
+		return callerGone(err)
 	}
 	return x.forwardEvents(p, answer)
 }
@@ -195,8 +196,8 @@
 			return err
 		}
 		p.watched.Received()
-		if x.forwardEvent(event) != nil {
-			return errCallerGone
+		if err := x.forwardEvent(event); err != nil {
+			return callerGone(err)
 		}
 	}
 }
--- a/internal/events/exchanges.go
+++ b/internal/events/exchanges.go
@@ -32,4 +32,9 @@
 		Message: "no server of the release selected for a request is known; version is that release",
 		Action:  "Check whether the servers of the release deregistered.",
 	})
+	ExchangeServerSilent = register(Event{
+		Number: 2107, Name: "exchange_server_silent", Level: logrus.WarnLevel,
+		Message: "a backend server sent nothing for longer than an attempt waits; outcome shows what followed",
+		Action:  "If many servers are silent at once, check the processor time of this instance and of the servers.",
+	})
 )
