dispatch, platform: Give a silent server up only if another attempt follows

Callers lost streams that sound servers were running: the connection closed after the status and some events, although the deadline was far (LOST). Requests whose only possible server was slow were answered 504.

Cause: the transport closed the connection once the server had been silent for three times the allowed pause, or for one if a peer had reported the server. Whether another attempt may follow was asked only afterwards: without a repeat in the budget (an instance of 195 starts with 0.44 repeats), an untried server or one that accepts, the stream was aborted. The class: an answer is given up before its replacement is certain.

Now the transport asks first. An event that arrives meanwhile is delivered, and the next attempt resumes after it; a reservation that isn't needed goes back to the budget. Silence is reported to the peers as before, once for each attempt.

--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -37,11 +37,12 @@
 	attemptCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	x.watch(p, cancel)
+	x.tried = append(x.tried, p.server.ID)
+	p.attempt.MayEnd = func() bool { return x.secureNext(ctx, p) }
 	answer, err := x.d.Transport.Send(attemptCtx, p.attempt)
 	if outcome := outcomeOf(err); err == nil || (outcome != retry.OutcomeConnectFailed && outcome != retry.OutcomeNotSent) {
 		x.sent++
 	}
-	x.tried = append(x.tried, p.server.ID)
 	if err == nil {
 		defer answer.Close()
 		err = x.relayAnswer(p, answer)
--- a/internal/dispatch/exchange.go
+++ b/internal/dispatch/exchange.go
@@ -69,6 +69,8 @@
 	// tried lists the servers that get no further attempt: those of all earlier attempts
 	// except the ones whose answer was escalated.
 	tried []string
+	// next is the placement that was secured before a silent server was given up; nil for none.
+	next *placement
 	// execution is the furthest execution status of all attempts so far.
 	execution apierror.ExecutionStatus
 	// isTrial is set while the request passes although its parts are refused.
@@ -110,6 +112,9 @@
 	attempt *Attempt
 	// watched is the attempt at the poison tracker; nil for none.
 	watched *poison.Attempt
+	// isReportedSilent is set once the server was reported as unresponsive, and wasDenied once
+	// the retry budget denied a repeat, while the attempt waited.
+	isReportedSilent, wasDenied bool
 	// faults are the reports that follow if the server, not a link, had the fault.
 	faults []func()
 }
@@ -117,11 +122,12 @@
 // run makes attempts until one answers or no further attempt is allowed.
 func (x *exchange) run(ctx context.Context) *Refusal {
 	for {
-		p, refusal := x.placeInTurn(ctx)
+		p, refusal := x.nextPlacement(ctx)
 		if refusal != nil {
 			return x.giveUp(refusal)
 		}
 		err := x.runAttempt(ctx, p)
+		x.releaseNext(ctx, err)
 		if err == nil {
 			return nil
 		}
@@ -148,7 +154,12 @@
 // place picks a server and then checks, as the last step before sending, that the
 // request is still allowed.
 func (x *exchange) place() (*placement, *Refusal) {
-	server, decision, refusal := x.pick()
+	return x.placeWith((*exchange).exclusions)
+}
+
+// placeWith places the request at a server that one of the lists of exclusions leaves.
+func (x *exchange) placeWith(exclusions exclusionLists) (*placement, *Refusal) {
+	server, decision, refusal := x.pick(exclusions)
 	if refusal != nil {
 		return nil, refusal
 	}
@@ -239,6 +250,9 @@
 	if outcome.Execution() != apierror.NotRun && x.execution != apierror.DidRun {
 		x.execution = outcome.Execution()
 	}
+	if x.next != nil {
+		return nil
+	}
 	// Without a link to the servers another one can't be reached either.
 	isCutOff := outcome == retry.OutcomeConnectFailed && linkOf(err) == LinkLost
 	if !isCutOff && x.mayRepeat(ctx, outcome) {
@@ -253,6 +267,16 @@
 
 // mayRepeat reports whether the request may be sent to another server.
 func (x *exchange) mayRepeat(ctx context.Context, outcome retry.Outcome) bool {
+	if !x.isRepeatable(ctx, outcome) {
+		return false
+	}
+	// A failed connection put no load on a server, so its retry costs no budget.
+	return outcome == retry.OutcomeConnectFailed || x.takeRepeat()
+}
+
+// isRepeatable reports whether the request may be sent to another server, if the retry budget
+// allows.
+func (x *exchange) isRepeatable(ctx context.Context, outcome retry.Outcome) bool {
 	if ctx.Err() != nil || x.sent >= max(1, x.route.MaxAttempts) || x.connectFailures >= maxConnects {
 		return false
 	}
@@ -263,11 +287,7 @@
 		OtherServers: len(x.d.Fleet.Snapshot().Servers(x.service)) - len(x.tried),
 		Remaining:    time.Until(x.deadline),
 	})
-	if decision.Action != retry.RetryElsewhere {
-		return false
-	}
-	// A failed connection put no load on a server, so its retry costs no budget.
-	return outcome == retry.OutcomeConnectFailed || x.takeRepeat()
+	return decision.Action == retry.RetryElsewhere
 }
 
 // takeRepeat takes a repeat from the service's retry budget, if one is left.
--- a/internal/dispatch/pick.go
+++ b/internal/dispatch/pick.go
@@ -31,9 +31,11 @@
 	return m
 }
 
-// pick chooses a server that has not been tried yet: one that is neither ejected nor
-// degraded, or else one that is not ejected, or else any.
-func (x *exchange) pick() (*fleet.Server, scheduling.Decision, *Refusal) {
+// exclusionLists returns the servers to exclude in successive rounds of a choice.
+type exclusionLists func(x *exchange, snap *fleet.Snapshot, now time.Time) [][]string
+
+// pick chooses a server that the first possible of the exclusions leaves.
+func (x *exchange) pick(exclusions exclusionLists) (*fleet.Server, scheduling.Decision, *Refusal) {
 	snap := x.d.Fleet.Snapshot()
 	release, ok := x.releaseIn(snap)
 	if !ok || release != x.release {
@@ -53,7 +55,7 @@
 		Now:           now,
 	}
 	reason := NoServer
-	for _, excluded := range x.exclusions(snap, now) {
+	for _, excluded := range exclusions(x, snap, now) {
 		req.Excluded = excluded
 		server, decision, err := x.take(snap, release, req)
 		if err == nil {
@@ -129,8 +131,15 @@
 	return far, farErr
 }
 
+// healthyOnly excludes the servers that were tried, are ejected or degraded.
+func (x *exchange) healthyOnly(snap *fleet.Snapshot, now time.Time) [][]string {
+	return x.exclusions(snap, now)[:1]
+}
+
 // exclusions returns the lists of servers to exclude in successive rounds, the
-// longest list first. The list of degraded servers includes the unavailable ones.
+// longest list first: all servers that were tried, are ejected or degraded, all that were
+// tried or ejected, and all that were tried. The list of degraded servers includes the
+// unavailable ones.
 func (x *exchange) exclusions(snap *fleet.Snapshot, now time.Time) [][]string {
 	unavailable := slices.Clone(x.tried)
 	degraded := slices.Clone(x.tried)
--- a/internal/dispatch/request.go
+++ b/internal/dispatch/request.go
@@ -168,4 +168,8 @@
 	HeaderTimeout       time.Duration
 	EventTimeout        time.Duration
 	NoticedEventTimeout time.Duration
+	// MayEnd is asked when a timeout has passed. If it reports true, another attempt follows and
+	// the transport ends this one; otherwise the wait goes on, and it is asked again later. It may
+	// be called from any goroutine while Send or Next waits for the server, one call at a time.
+	MayEnd func() bool
 }
--- a/internal/retry/budgets.go
+++ b/internal/retry/budgets.go
@@ -80,6 +80,15 @@
 	return true
 }
 
+// Return gives back a token that was taken for a retry that was not made.
+func (b *Budgets) Return(service string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if budget := b.byService[service]; budget != nil {
+		budget.tokens++
+	}
+}
+
 // slack returns this instance's part of the slack.
 func (b *Budgets) slack() float64 {
 	instances := b.instances()
