platform: Refuse requests that reach a stopping instance too late

A stopping instance passed requests on that arrived on kept connections after its drain delay and could not be finished before the process ends.

--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -186,6 +186,12 @@
 	x.finish(refusal)
 }
 
+// Refuse refuses a request that is not served, and logs it.
+func (d *Dispatcher) Refuse(req *Request, out Responder, refusal Refusal) {
+	x := &exchange{d: d, req: req, out: out, execution: refusal.Execution}
+	x.finish(&refusal)
+}
+
 // prepare finds the route and the client account, sets the deadline and chooses the
 // service.
 func (x *exchange) prepare() *Refusal {
--- a/internal/dispatch/refusal.go
+++ b/internal/dispatch/refusal.go
@@ -37,6 +37,8 @@
 	Quarantined Reason = "quarantined"
 	// Withdrawn: a configuration change disallowed the request before it was sent.
 	Withdrawn Reason = "withdrawn"
+	// Stopping: the instance ends before it could serve the request.
+	Stopping Reason = "stopping"
 )
 
 // Refusal ends a request without an answer.
