dispatch: A request in flight outlasts a change of its route

Callers lost streams around new configurations (LOST), and answers of a small model that was asked first: the next attempt was refused because the configuration that had taken effect meanwhile moved or dropped the route, so the stream was cut and the discarded answer ended as 502.

Cause: the last check before a send asked the newest configuration whether it would still choose the service, for attempts of requests that had begun under an earlier one as well. Class: what is in flight is judged by a state that is newer than its own.

A request that was sent to a server keeps its route and service to its end; a key that was revoked meanwhile ends it as before. One that was not sent yet follows the newest configuration as before.

Evidence: four of the seven cases of TestRequestInFlightOutlastsAChangeOfItsRoute failed before (resumed after a moved and after a dropped route, escalated, refused by the first server); all pass.

--- a/internal/dispatch/exchange.go
+++ b/internal/dispatch/exchange.go
@@ -189,12 +189,22 @@
 	if table.NeedsKey(x.route) && !x.d.Routing.Confirmed() {
 		return &Refusal{Reason: NotConfirmed, Execution: x.execution, RetryAfter: longRetryAfter}
 	}
-	if table != x.table && !table.Allows(x.route, x.req.Key, x.account, x.service) {
+	if table != x.table && !x.isAllowedBy(table) {
 		return &Refusal{Reason: Withdrawn, Execution: x.execution, RetryAfter: shortRetryAfter}
 	}
 	return nil
 }
 
+// isAllowedBy reports whether a configuration that took effect after the request arrived allows
+// its next attempt. A request that was sent to a server keeps its route and service to its end;
+// a revoked key ends it.
+func (x *exchange) isAllowedBy(table *routing.Table) bool {
+	if x.sent > 0 {
+		return table.AllowsKey(x.route, x.req.Key, x.account)
+	}
+	return table.Allows(x.route, x.req.Key, x.account, x.service)
+}
+
 func (x *exchange) newAttempt(p *placement) *Attempt {
 	a := &Attempt{
 		Request:     x.req,
--- /dev/null
+++ b/internal/dispatch/reconfigured_test.go
@@ -0,0 +1,51 @@
+package dispatch
+
+import (
+	"context"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/basilrail/basilrail/internal/retry"
+	"github.com/basilrail/basilrail/internal/routing"
+)
+
+// TestRequestInFlightOutlastsAChangeOfItsRoute guards against streams that are cut, and answers
+// that are discarded, because a configuration that took effect meanwhile moves or drops their
+// route (LOST). A key that it revokes ends them.
+func TestRequestInFlightOutlastsAChangeOfItsRoute(t *testing.T) {
+	lost := NewSendError(retry.OutcomeDisconnected, errTest)
+	moved := routing.Route{Host: "h", Prefix: "/chat/", Kind: routing.Streaming, Targets: []routing.Target{{Service: "web", Weight: 1}}}
+	holder := map[string]*routing.Account{"key": {Name: "alice"}}
+	for name, c := range map[string]struct {
+		config routing.Config
+		first  step
+		second step
+		want   string
+	}{
+		"resumed, route moved":        {routing.Config{Routes: []routing.Route{moved}, Keys: holder}, streams(90, 1, 3, lost), streams(90, 4, 6, nil), "1 2 3 4 5 6 "},
+		"resumed, route dropped":      {routing.Config{Keys: holder}, streams(90, 1, 3, lost), streams(90, 4, 6, nil), "1 2 3 4 5 6 "},
+		"escalated, route moved":      {routing.Config{Routes: []routing.Route{moved}, Keys: holder}, streams(20, 1, 3, nil), streams(90, 1, 3, nil), "1 2 3 "},
+		"resumed, key revoked":        {routing.Config{Routes: []routing.Route{moved}, Keys: map[string]*routing.Account{}}, streams(90, 1, 3, lost), nil, "1 2 3 "},
+		"resumed, key moved":          {routing.Config{Keys: map[string]*routing.Account{"key": {Name: "bob"}}}, streams(90, 1, 3, lost), nil, "1 2 3 "},
+		"not sent yet, route moved":   {routing.Config{Routes: []routing.Route{moved}, Keys: holder}, fails(retry.OutcomeConnectFailed), nil, ""},
+		"refused by the first, moved": {routing.Config{Routes: []routing.Route{moved}, Keys: holder}, fails(retry.OutcomeNoCapacity), streams(90, 1, 3, nil), "1 2 3 "},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var b *setup
+			b = newSetup(func(ctx context.Context, a *Attempt) (Answer, error) {
+				c.config.Version = 2
+				b.state.Put(routing.New(c.config))
+				return c.first(ctx, a)
+			})
+			if c.second != nil {
+				b.script.steps = append(b.script.steps, c.second)
+			}
+			caller := b.serve("/chat/")
+			assert.Equal(t, c.want, caller.text)
+			assert.Equal(t, c.second != nil, caller.ended)
+			require.Len(t, b.script.attempts, len(b.script.steps))
+		})
+	}
+}
--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -110,10 +110,13 @@
 // exists and has the service as a target with a positive weight.
 func (t *Table) Allows(r *Route, key string, account *Account, service string) bool {
 	current, ok := t.byHost[r.Host].route(r.Prefix)
-	if !ok || !current.hasTarget(service) {
-		return false
-	}
-	if !t.NeedsKey(current) {
+	return ok && current.hasTarget(service) && t.AllowsKey(current, key, account)
+}
+
+// AllowsKey reports whether the key of a request to a route still belongs to the account, or
+// needs none.
+func (t *Table) AllowsKey(r *Route, key string, account *Account) bool {
+	if !t.NeedsKey(r) {
 		return true
 	}
 	holder, ok := t.keys[key]
