dispatch: Resume streams while the keys can't be confirmed

A stream whose server was lost while the store was silent or late for some seconds was cut, although another server could go on: the next attempt asked for keys that are confirmed now. Same class as the change of a route. The bound of a revocation counts from the time a request was sent, and at that time the keys were confirmed.

Attempts of a request that was sent no longer ask for it; a revocation that is known still ends it, and new requests are refused as before.

Evidence: TestStreamIsResumedWhileTheStoreIsSilent got three events of six before.

--- a/internal/dispatch/exchange.go
+++ b/internal/dispatch/exchange.go
@@ -186,7 +186,8 @@
 // request.
 func (x *exchange) checkAllowed() *Refusal {
 	table := x.d.Routing.Table()
-	if table.NeedsKey(x.route) && !x.d.Routing.Confirmed() {
+	// The keys were confirmed when a request arrived that was sent since.
+	if x.sent == 0 && table.NeedsKey(x.route) && !x.d.Routing.Confirmed() {
 		return &Refusal{Reason: NotConfirmed, Execution: x.execution, RetryAfter: longRetryAfter}
 	}
 	if table != x.table && !x.isAllowedBy(table) {
--- a/internal/dispatch/reconfigured_test.go
+++ b/internal/dispatch/reconfigured_test.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"github.com/basilrail/basilrail/internal/bootclock"
 	"github.com/basilrail/basilrail/internal/retry"
 	"github.com/basilrail/basilrail/internal/routing"
 )
@@ -49,3 +51,17 @@
 		})
 	}
 }
+
+// TestStreamIsResumedWhileTheStoreIsSilent guards against streams that are cut because the keys,
+// which were confirmed when their request arrived, can't be confirmed again at the next attempt.
+func TestStreamIsResumedWhileTheStoreIsSilent(t *testing.T) {
+	var b *setup
+	b = newSetup(func(ctx context.Context, a *Attempt) (Answer, error) {
+		b.now += bootclock.Time(5 * time.Second)
+		return streams(90, 1, 3, NewSendError(retry.OutcomeDisconnected, errTest))(ctx, a)
+	}, streams(90, 4, 6, nil))
+	caller := b.serve("/chat/")
+	assert.Equal(t, "1 2 3 4 5 6 ", caller.text)
+	assert.True(t, caller.ended)
+	assert.Equal(t, NotConfirmed, b.serve("/chat/").refusal.Reason, "a new request")
+}
