dispatch: Discard an answer only once the larger model can be asked

Callers got 502 for requests that a small model had answered: the answer was discarded for its low confidence, and then no server took the request for the larger model (limits, pauses, a withdrawn key). Same class as streams of silent servers: an answer is given up before its replacement is certain.

The placement at the larger model is made first, unless servers ask for a pause that the request can wait for. Without one the answer is delivered.

A server that refuses the placed request still leaves the caller with 502.

--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -133,8 +133,7 @@
 	return nil
 }
 
-// escalates reports whether a larger model is asked instead, and selects that
-// model.
+// escalates reports whether a larger model is asked instead, and prepares the attempt.
 func (x *exchange) escalates(head Head) bool {
 	if len(x.tiers) == 0 || x.sent+1 > x.route.MaxAttempts {
 		return false
@@ -146,16 +145,7 @@
 		TargetLatency: x.route.TargetLatency,
 		Utilization:   x.d.Fleet.Snapshot().Utilization(x.service, x.release),
 	})
-	if !ok || !x.takeRepeat() {
-		return false
-	}
-	x.d.Log.Log(events.ExchangeEscalated, events.Fields{
-		RequestID: x.req.ID, Model: x.tiers[x.tier].Model, Count: head.Confidence, Reason: x.tiers[next].Model,
-	})
-	x.tier = next
-	// The server that holds the prompt is also the best one for the larger model.
-	x.tried = x.tried[:len(x.tried)-1]
-	return true
+	return ok && x.secureEscalation(head, next)
 }
 
 func (x *exchange) deliver(answer *completeAnswer) {
--- a/internal/dispatch/exchange.go
+++ b/internal/dispatch/exchange.go
@@ -69,7 +69,7 @@
 	// tried lists the servers that get no further attempt: those of all earlier attempts
 	// except the ones whose answer was escalated.
 	tried []string
-	// next is the placement that was secured before a silent server was given up; nil for none.
+	// next is the placement that was secured before an answer was given up; nil for none.
 	next *placement
 	// execution is the furthest execution status of all attempts so far.
 	execution apierror.ExecutionStatus
@@ -303,8 +303,7 @@
 
 // takeRepeat takes a repeat from the service's retry budget, if one is left.
 func (x *exchange) takeRepeat() bool {
-	if !x.d.Budgets.Take(x.service) {
-		x.d.Metrics.RepeatsDenied.Add(x.service, 1)
+	if !x.reserveRepeat(false) {
 		return false
 	}
 	x.d.Metrics.Repeats.Add(x.service, 1)
--- a/internal/dispatch/silent.go
+++ b/internal/dispatch/secure.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/basilrail/basilrail/internal/events"
 	"github.com/basilrail/basilrail/internal/retry"
 )
 
@@ -18,8 +19,8 @@
 	if x.d.queue(x.service).Len() > 0 || !x.isRepeatable(ctx, retry.OutcomeTimeout) {
 		return false
 	}
-	if !x.d.Budgets.Take(x.service) {
-		x.denyRepeat(p)
+	if !x.reserveRepeat(p.wasDenied) {
+		p.wasDenied = true
 		return false
 	}
 	next, refusal := x.placeWith((*exchange).healthyOnly)
@@ -31,12 +32,42 @@
 	return true
 }
 
-// denyRepeat counts an attempt without budget for a repeat, once.
-func (x *exchange) denyRepeat(p *placement) {
-	if !p.wasDenied {
-		p.wasDenied = true
+// secureEscalation prepares the attempt at the model of the tier next, and reports whether there
+// is one: an answer is not discarded unless a server can take the request for the larger model.
+func (x *exchange) secureEscalation(head Head, next int) bool {
+	if !x.reserveRepeat(false) {
+		return false
+	}
+	x.dropNext()
+	tier, tried := x.tier, x.tried
+	// The server that holds the prompt is also the best one for the larger model.
+	x.tier, x.tried = next, tried[:len(tried)-1]
+	placed, refusal := x.place()
+	if refusal != nil && !(refusal.Reason == ServersPaused && x.canWait(refusal, 0)) {
+		x.tier, x.tried = tier, tried
+		x.d.Budgets.Return(x.service)
+		return false
+	}
+	if placed == nil {
+		x.d.Metrics.Repeats.Add(x.service, 1)
+	}
+	x.next = placed
+	x.d.Log.Log(events.ExchangeEscalated, events.Fields{
+		RequestID: x.req.ID, Model: x.tiers[tier].Model, Count: head.Confidence, Reason: x.tiers[next].Model,
+	})
+	return true
+}
+
+// reserveRepeat takes a repeat from the service's retry budget, if one is left. A denial that was
+// counted before is not counted again.
+func (x *exchange) reserveRepeat(isCounted bool) bool {
+	if x.d.Budgets.Take(x.service) {
+		return true
+	}
+	if !isCounted {
 		x.d.Metrics.RepeatsDenied.Add(x.service, 1)
 	}
+	return false
 }
 
 // reportSilence reports the server of an attempt as unresponsive, once, unless the fault is one
@@ -72,11 +103,18 @@
 	return p, nil
 }
 
-// releaseNext gives the secured placement back unless an attempt ended for it.
+// releaseNext gives the secured placement back unless the attempt ended for it.
 func (x *exchange) releaseNext(ctx context.Context, err error) {
-	if x.next == nil || err != nil && outcomeOf(err) == retry.OutcomeTimeout && ctx.Err() == nil {
-		return
+	endedForNext := err == errEscalated || err != nil && outcomeOf(err) == retry.OutcomeTimeout
+	if !endedForNext || ctx.Err() != nil {
+		x.dropNext()
+	}
+}
+
+// dropNext gives the secured placement back, if there is one.
+func (x *exchange) dropNext() {
+	if x.next != nil {
+		x.next = nil
+		x.d.Budgets.Return(x.service)
 	}
-	x.next = nil
-	x.d.Budgets.Return(x.service)
 }
--- a/internal/dispatch/silent_test.go
+++ b/internal/dispatch/secure_test.go
@@ -140,3 +140,27 @@
 	}
 	assert.Len(t, b.script.attempts, 5)
 }
+
+// usedUpLimits allow a number of requests.
+type usedUpLimits struct {
+	noLimits
+	left int
+}
+
+func (l *usedUpLimits) MaySend(string) bool { return l.left > 0 }
+
+func (l *usedUpLimits) Take(string) bool {
+	l.left--
+	return l.left >= 0
+}
+
+// TestAnswerIsNotDiscardedForAModelThatCannotBeAsked guards against answers that are replaced by
+// a refusal: they were discarded to ask a larger model, and then no server took the request.
+func TestAnswerIsNotDiscardedForAModelThatCannotBeAsked(t *testing.T) {
+	b := newSetup(streams(20, 1, 2, nil), streams(90, 1, 2, nil))
+	b.d.Limits = &usedUpLimits{left: 1}
+	c := b.serve("/chat/")
+	assert.Nil(t, c.refusal)
+	assert.Equal(t, "1 2 ", c.text)
+	assert.Len(t, b.script.attempts, 1)
+}
