--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -45,6 +45,9 @@
 
 // Main runs the process until a signal ends it, and returns its exit code.
 func Main(args []string, out io.Writer) int {
+	// By default a write to standard output without a reader ends the process. Log lines are
+	// dropped instead.
+	signal.Ignore(syscall.SIGPIPE)
 	if len(args) > 0 && args[0] == platformArgument {
 		return platform.Main(args[1:], os.Stdout)
 	}
