dispatch: Keep the caller's position until the stream has an id

A caller that resumes at Last-Event-Id 2 got the events 1 and 2 again (ORDER) if its stream broke off after a comment and before the next event.

Cause: once the stream had begun, the next attempt was given the last id that was delivered, also while there was none, and so began at event 1.

Evidence: TestStreamContinuesAfterTheCallersPosition, 'only a comment', direct and relayed: the second server got Last-Event-Id "" instead of 2.

Change: the last delivered id replaces the caller's only once there is one. Result: passes with -race -count=3; the other four cases passed before.

--- a/internal/dispatch/exchange.go
+++ b/internal/dispatch/exchange.go
@@ -221,7 +221,7 @@
 		a.Model = x.tiers[x.tier].Model
 		p.model = a.Model
 	}
-	if x.streamStarted {
+	if x.lastEvent != "" {
 		a.ResumeAfter = x.lastEvent
 	}
 	x.setResponseTimeouts(a, p)
