dispatch: Deliver only events that follow the last one delivered

If a stream broke off and the next server began again at event 1, repeated the last event, or counted in another way, callers got pieces twice or out of order in a stream that ended as complete (ORDER). So they did where one server repeated events, or ignored the position of a caller that resumes.

Cause: a server was trusted to go on at Last-Event-Id; only the id of the last event was kept, and never compared.

Evidence: TestResumedStreamContinuesAfterTheLastEvent, direct and relayed: 7 of 12 cases failed, such as '1 2 1 2 3 4' for 'begins again'. TestEventsThatDoNotFollowAreNotDelivered: 6 of 10 failed.

Change: on streaming routes an event must have a greater id than the last one delivered, or than the caller's own position where the route is resumable. An attempt whose event hasn't fails as one of a faulty server, and another one follows or the stream is cut. Ids may skip: the protocol only says that they increase. Of ids that are no numbers only the server that assigned them knows the order, so such a stream isn't joined with that of another server.

Result: both tests pass with -race -count=3, as do the tests on streams, callers, poison and silence in internal/dispatch.

--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -157,7 +157,7 @@
 
 // relayStream starts the caller's stream and forwards the events.
 func (x *exchange) relayStream(p *placement, answer Answer) error {
-	event, err := answer.Next()
+	event, err := x.nextEvent(p, answer)
 	if err != nil && err != io.EOF {
 		return err
 	}
@@ -170,7 +170,7 @@
 	if err == io.EOF {
 		return x.endStream()
 	}
-	if err := x.forwardEvent(event); err != nil {
+	if err := x.forwardEvent(p, event); err != nil {
 		return callerGone(err)
 	}
 	return x.forwardEvents(p, answer)
@@ -179,7 +179,7 @@
 // forwardEvents forwards events until the stream is complete.
 func (x *exchange) forwardEvents(p *placement, answer Answer) error {
 	for {
-		event, err := answer.Next()
+		event, err := x.nextEvent(p, answer)
 		if err == io.EOF {
 			return x.endStream()
 		}
@@ -187,18 +187,18 @@
 			return err
 		}
 		p.watched.Received()
-		if err := x.forwardEvent(event); err != nil {
+		if err := x.forwardEvent(p, event); err != nil {
 			return callerGone(err)
 		}
 	}
 }
 
-func (x *exchange) forwardEvent(e Event) error {
+func (x *exchange) forwardEvent(p *placement, e Event) error {
 	if err := x.out.Event(e); err != nil {
 		return err
 	}
 	if e.ID != "" {
-		x.lastEvent = e.ID
+		x.lastEvent, p.hasDelivered = e.ID, true
 	}
 	return nil
 }
--- a/internal/dispatch/exchange.go
+++ b/internal/dispatch/exchange.go
@@ -80,8 +80,8 @@
 	// serverFailure is a failure response of a server. It is delivered unless
 	// another attempt answers.
 	serverFailure *completeAnswer
-	// streamStarted reports whether the caller has received part of the stream, up
-	// to lastEvent.
+	// streamStarted reports whether the caller's stream has begun, and lastEvent is the last id
+	// that it contains; empty for none.
 	streamStarted bool
 	lastEvent     string
 	status        int
@@ -112,6 +112,8 @@
 	attempt *Attempt
 	// watched is the attempt at the poison tracker; nil for none.
 	watched *poison.Attempt
+	// hasDelivered is set once the caller has received an event with an id from the server.
+	hasDelivered bool
 	// isReportedSilent is set once the server was reported as unresponsive, and wasDenied once
 	// the retry budget denied a repeat, while the attempt waited.
 	isReportedSilent, wasDenied bool
