dispatch, platform: Deliver no text that is no event

Cause: whatever ends with an empty line was passed on as an event, and one without an id left the position as it was.

Evidence: TestTextThatIsNoEventIsNotDelivered, direct and relayed: callers got 'HTTP/1.1 500 Internal Server Error, Content-Length: 21' between the events 2 and 3, and '{"error": "failed"}' or a data line without an id after the last.

Change: the reader marks events with a line that is neither a comment nor a field of an event, and those that hold no piece (comments, retry). On streaming routes the others need an id that follows; an attempt whose event is malformed or has no id fails as one of a faulty server. A text that has the form of the next event can't be told from it.

--- a/internal/dispatch/position.go
+++ b/internal/dispatch/position.go
@@ -25,10 +25,18 @@
 }
 
 // checkEvent returns an error for an event that doesn't follow the last one that the caller has
-// received: the server began again, or its event has another place in the stream.
+// received: the server began again, its event has another place in the stream, or its text is no
+// event.
 func (x *exchange) checkEvent(p *placement, e Event) error {
-	if x.route.Kind != routing.Streaming || e.ID == "" {
+	switch {
+	case x.route.Kind != routing.Streaming:
 		return nil
+	case e.IsMalformed:
+		return invalidStream("the stream holds a line that no event has")
+	case e.IsEmpty:
+		return nil
+	case e.ID == "":
+		return invalidStream("an event of the stream has no id")
 	}
 	last := x.lastEvent
 	if last == "" && x.route.Resumable {
--- a/internal/dispatch/request.go
+++ b/internal/dispatch/request.go
@@ -128,6 +128,10 @@
 	ID string
 	// Raw is the event as the server sent it, including the closing blank line.
 	Raw []byte
+	// IsEmpty is set for an event that holds no piece of the stream: comments, for example.
+	IsEmpty bool
+	// IsMalformed is set for an event with a line that no event has.
+	IsMalformed bool
 }
 
 // Responder receives the answer to one request. An error from Deliver, Begin, Event
