--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -197,6 +197,9 @@
 	if err := x.out.Event(e); err != nil {
 		return err
 	}
+	if !e.IsEmpty {
+		x.isEventDue = false
+	}
 	if e.ID != "" {
 		x.lastEvent, p.hasDelivered = e.ID, true
 	}
--- a/internal/dispatch/exchange.go
+++ b/internal/dispatch/exchange.go
@@ -84,7 +84,9 @@
 	// that it contains; empty for none.
 	streamStarted bool
 	lastEvent     string
-	status        int
+	// isEventDue is set while the stream is known to have an event after lastEvent.
+	isEventDue bool
+	status     int
 }
 
 // completeAnswer is an answer whose body was read to the end.
--- a/internal/dispatch/position.go
+++ b/internal/dispatch/position.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"io"
 	"strconv"
 
 	"github.com/pkg/errors"
@@ -14,14 +15,23 @@
 	return NewSendError(retry.OutcomeServerError, errors.Errorf(format, args...)).WithLink(LinkSound)
 }
 
+// ErrInsideEvent means that a stream broke off inside an event, so that it has at least this event
+// to come.
+var ErrInsideEvent = errors.New("the stream broke off inside an event")
+
 // nextEvent returns the next event that continues the caller's stream, or io.EOF after the last
 // one.
 func (x *exchange) nextEvent(p *placement, answer Answer) (Event, error) {
 	event, err := answer.Next()
-	if err != nil {
-		return event, err
+	switch {
+	case err == nil:
+		return event, x.checkEvent(p, event)
+	case err == io.EOF && x.isEventDue:
+		return event, invalidStream("the stream ended without the event in which it had broken off")
+	case errors.Is(err, ErrInsideEvent):
+		x.isEventDue = true
 	}
-	return event, x.checkEvent(p, event)
+	return event, err
 }
 
 // checkEvent returns an error for an event that doesn't follow the last one that the caller has
--- a/internal/dispatch/position_test.go
+++ b/internal/dispatch/position_test.go
@@ -52,3 +52,29 @@
 		})
 	}
 }
+
+// TestStreamEndsAfterAnEventThatBrokeOff guards against a stream that ends as complete although the
+// event inside which it broke off is missing (ORDER).
+func TestStreamEndsAfterAnEventThatBrokeOff(t *testing.T) {
+	inside := NewSendError(retry.OutcomeDisconnected, ErrInsideEvent)
+	for name, c := range map[string]struct {
+		path    string
+		steps   []step
+		text    string
+		isWhole bool
+	}{
+		"nothing follows":                 {"/chat/", []step{streamOf(inside, "1"), streamOf(nil)}, "1 ", false},
+		"it follows":                      {"/chat/", []step{streamOf(inside, "1"), streamOf(nil, "2")}, "1 2 ", true},
+		"it follows the third time":       {"/chat/", []step{streamOf(inside, "1"), streamOf(nil), streamOf(nil, "2")}, "1 2 ", true},
+		"it breaks off again":             {"/chat/", []step{streamOf(inside, "1"), streamOf(inside, "2"), streamOf(nil)}, "1 2 ", false},
+		"a call that answers with events": {"/read/", []step{streamOf(inside), streamOf(nil, "")}, " ", true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			got := newSetup(c.steps...).serve(c.path)
+			assert.Equal(t, c.text, got.text)
+			assert.Equal(t, c.isWhole, got.ended)
+			assert.Equal(t, !c.isWhole, got.aborted)
+			assert.Nil(t, got.refusal)
+		})
+	}
+}
