dispatch: Resume a stream after its server left the fleet

A stream was cut although another server could go on with it, if its server had deregistered before it was lost: the number of other servers was that of all registered ones less those that were tried, so a tried server that is no longer registered was subtracted as well. With two servers none seemed left. Class: what is in flight is judged by a state that is newer than its own.

Counted are now the registered servers that were not tried.

Evidence: TestStreamIsResumedAfterItsServerLeftTheFleet got three events of six before. Not seen at users.

--- a/internal/dispatch/exchange.go
+++ b/internal/dispatch/exchange.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/basilrail/basilrail/internal/apierror"
@@ -299,12 +300,24 @@
 		Outcome:      outcome,
 		Number:       x.sent,
 		Idempotent:   x.route.Repeatable(),
-		OtherServers: len(x.d.Fleet.Snapshot().Servers(x.service)) - len(x.tried),
+		OtherServers: x.untriedServers(),
 		Remaining:    time.Until(x.deadline),
 	})
 	return decision.Action == retry.RetryElsewhere
 }
 
+// untriedServers returns the number of registered servers that may get a further attempt. Servers
+// that were tried may have deregistered meanwhile.
+func (x *exchange) untriedServers() int {
+	untried := 0
+	for _, server := range x.d.Fleet.Snapshot().Servers(x.service) {
+		if !slices.Contains(x.tried, server.ID) {
+			untried++
+		}
+	}
+	return untried
+}
+
 // takeRepeat takes a repeat from the service's retry budget, if one is left.
 func (x *exchange) takeRepeat() bool {
 	if !x.reserveRepeat(false) {
--- a/internal/dispatch/reconfigured_test.go
+++ b/internal/dispatch/reconfigured_test.go
@@ -65,3 +65,24 @@
 	assert.True(t, caller.ended)
 	assert.Equal(t, NotConfirmed, b.serve("/chat/").refusal.Reason, "a new request")
 }
+
+// TestStreamIsResumedAfterItsServerLeftTheFleet guards against streams that are cut although a
+// server could go on with them, because the server that was lost is no longer registered.
+func TestStreamIsResumedAfterItsServerLeftTheFleet(t *testing.T) {
+	var b *setup
+	b = newSetup(func(ctx context.Context, a *Attempt) (Answer, error) {
+		kept := ""
+		for _, server := range b.d.Fleet.Snapshot().Servers("models") {
+			if kept == "" && server.ID != a.Server.ID {
+				kept = server.ID
+				continue
+			}
+			b.d.Fleet.Remove(server.ID)
+		}
+		return streams(90, 1, 3, NewSendError(retry.OutcomeDisconnected, errTest))(ctx, a)
+	}, streams(90, 4, 6, nil))
+	caller := b.serve("/chat/")
+	assert.Equal(t, "1 2 3 4 5 6 ", caller.text)
+	assert.True(t, caller.ended)
+	assert.Len(t, b.script.attempts, 2)
+}
