dispatch: Go on with a stream whose server was given up

Until the deadline such a stream is now placed again each 300 ms, also at servers that were tried, once the budget allows; the request goes to no more servers than its route allows. Callers that leave, revoked keys and refused contents end it as before.

--- a/internal/dispatch/exchange.go
+++ b/internal/dispatch/exchange.go
@@ -70,6 +70,8 @@
 	// tried lists the servers that get no further attempt: those of all earlier attempts
 	// except the ones whose answer was escalated.
 	tried []string
+	// hasGivenUp is set once a server was given up because it was silent.
+	hasGivenUp bool
 	// next is the placement that was secured before an answer was given up; nil for none.
 	next *placement
 	// execution is the furthest execution status of all attempts so far.
@@ -129,7 +131,10 @@
 	for {
 		p, refusal := x.nextPlacement(ctx)
 		if refusal != nil {
-			return x.giveUp(refusal)
+			if refusal := x.goOnAfter(ctx, refusal); refusal != nil {
+				return x.giveUp(refusal)
+			}
+			continue
 		}
 		err := x.runAttempt(ctx, p)
 		x.releaseNext(ctx, err)
@@ -140,7 +145,7 @@
 			x.execution = apierror.DidRun
 			continue
 		}
-		if refusal := x.afterFailure(ctx, p, err); refusal != nil {
+		if refusal := x.goOnAfter(ctx, x.afterFailure(ctx, p, err)); refusal != nil {
 			return x.giveUp(refusal)
 		}
 	}
--- a/internal/dispatch/pick.go
+++ b/internal/dispatch/pick.go
@@ -141,8 +141,13 @@
 // tried or ejected, and all that were tried. The list of degraded servers includes the
 // unavailable ones.
 func (x *exchange) exclusions(snap *fleet.Snapshot, now time.Time) [][]string {
-	unavailable := slices.Clone(x.tried)
-	degraded := slices.Clone(x.tried)
+	return x.exclusionsBeside(x.tried, snap, now)
+}
+
+// exclusionsBeside is exclusions with other servers in place of those that were tried.
+func (x *exchange) exclusionsBeside(always []string, snap *fleet.Snapshot, now time.Time) [][]string {
+	unavailable := slices.Clone(always)
+	degraded := slices.Clone(always)
 	for _, server := range snap.Servers(x.service) {
 		if !server.Available(now) {
 			unavailable = append(unavailable, server.ID)
@@ -155,8 +160,8 @@
 	if len(degraded) > len(unavailable) {
 		lists = append(lists, unavailable)
 	}
-	if len(unavailable) > len(x.tried) {
-		lists = append(lists, x.tried)
+	if len(unavailable) > len(always) {
+		lists = append(lists, always)
 	}
 	return lists
 }
--- a/internal/dispatch/refusal.go
+++ b/internal/dispatch/refusal.go
@@ -52,3 +52,12 @@
 	// has used its part of the limits that the servers named.
 	ElsewhereSooner bool
 }
+
+// isFinal reports whether the request is refused whichever server is asked.
+func (r *Refusal) isFinal() bool {
+	switch r.Reason {
+	case CallerGone, Rejected, Quarantined, Withdrawn, NotConfirmed, BadKey, NoRoute:
+		return true
+	}
+	return false
+}
--- a/internal/dispatch/secure.go
+++ b/internal/dispatch/secure.go
@@ -2,12 +2,17 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/basilrail/basilrail/internal/events"
+	"github.com/basilrail/basilrail/internal/fleet"
 	"github.com/basilrail/basilrail/internal/retry"
 )
 
+// resumeInterval is the time between two tries to go on with a stream whose server was given up.
+const resumeInterval = 300 * time.Millisecond
+
 // secureNext prepares the attempt that follows if the server of p is given up because it is
 // silent, and reports whether there is one. A silent server may only be slow: its answer is not
 // given up unless a healthy server can take the request and the retry budget allows.
@@ -16,7 +21,7 @@
 		return true
 	}
 	x.reportSilence(ctx, p)
-	if x.d.queue(x.service).Len() > 0 || !x.isRepeatable(ctx, retry.OutcomeTimeout) {
+	if x.d.queue(x.service).Len() > 0 || !x.isRepeatable(ctx, retry.OutcomeTimeout) || x.checkAllowed() != nil {
 		return false
 	}
 	if !x.reserveRepeat(p.wasDenied) {
@@ -108,7 +113,46 @@
 	endedForNext := err == errEscalated || err != nil && outcomeOf(err) == retry.OutcomeTimeout
 	if !endedForNext || ctx.Err() != nil {
 		x.dropNext()
+		return
+	}
+	x.hasGivenUp = x.hasGivenUp || x.next != nil && err != errEscalated
+}
+
+// goOnAfter decides whether a stream goes on after a refusal that would end it; it returns nil if
+// so. A stream whose server was given up goes on as soon as a server takes it: that server might
+// have finished it.
+func (x *exchange) goOnAfter(ctx context.Context, refusal *Refusal) *Refusal {
+	for refusal != nil {
+		if !x.hasGivenUp || !x.streamStarted || ctx.Err() != nil || refusal.isFinal() {
+			return refusal
+		}
+		if interrupted := x.sleep(ctx, resumeInterval); interrupted != nil {
+			return interrupted
+		}
+		if !x.reserveRepeat(true) {
+			continue
+		}
+		x.next, refusal = x.placeWith((*exchange).askedAgain)
+		if refusal != nil {
+			x.d.Budgets.Return(x.service)
+		}
+	}
+	return nil
+}
+
+// askedAgain excludes servers like exclusions, but not those that were tried. Once the request was
+// sent to as many servers as its route allows it excludes all others.
+func (x *exchange) askedAgain(snap *fleet.Snapshot, now time.Time) [][]string {
+	tried := slices.Compact(slices.Sorted(slices.Values(x.tried)))
+	var never []string
+	if len(tried) >= x.route.MaxAttempts {
+		for _, server := range snap.Servers(x.service) {
+			if !slices.Contains(tried, server.ID) {
+				never = append(never, server.ID)
+			}
+		}
 	}
+	return x.exclusionsBeside(never, snap, now)
 }
 
 // dropNext gives the secured placement back, if there is one.
--- a/internal/dispatch/secure_test.go
+++ b/internal/dispatch/secure_test.go
@@ -10,6 +10,7 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"github.com/basilrail/basilrail/internal/bubble"
 	"github.com/basilrail/basilrail/internal/modeltier"
 	"github.com/basilrail/basilrail/internal/retry"
 	"github.com/basilrail/basilrail/internal/routing"
@@ -98,6 +99,59 @@
 	}
 }
 
+// TestStreamOfAGivenUpServerGoesOn guards against streams that are cut because the server that was
+// to go on in place of a silent one does not take them. Further requests earn repeats.
+func TestStreamOfAGivenUpServerGoesOn(t *testing.T) {
+	linkLost := func(context.Context, *Attempt) (Answer, error) {
+		return nil, NewSendError(retry.OutcomeConnectFailed, errTest).WithLink(LinkLost)
+	}
+	last := streams(90, 4, 6, nil)
+	for name, c := range map[string]struct {
+		steps   []step
+		budget  int
+		servers int
+	}{
+		"refused":                         {[]step{fails(retry.OutcomeNoCapacity), last}, 1, 5},
+		"draining":                        {[]step{fails(retry.OutcomeDraining), last}, 1, 5},
+		"disconnected":                    {[]step{fails(retry.OutcomeDisconnected), last}, 1, 5},
+		"refused by all that are allowed": {[]step{fails(retry.OutcomeNoCapacity), fails(retry.OutcomeNoCapacity), last}, 100, 5},
+		"refused by the only other one":   {[]step{fails(retry.OutcomeNoCapacity), last}, 100, 2},
+		"links lost":                      {[]step{linkLost, last}, 100, 5},
+		"connect failed four times":       {[]step{fails(retry.OutcomeConnectFailed), fails(retry.OutcomeConnectFailed), fails(retry.OutcomeConnectFailed), fails(retry.OutcomeConnectFailed), last}, 100, 5},
+	} {
+		t.Run(name, func(t *testing.T) {
+			bubble.Test(t, func(t *testing.T) {
+				mayEnd := false
+				b := newSetup(append([]step{fallsSilent(&mayEnd)}, c.steps...)...)
+				for b.d.Budgets.Take("models") {
+				}
+				for range c.budget {
+					b.d.Budgets.Return("models")
+				}
+				for _, server := range b.d.Fleet.Snapshot().Servers("models")[c.servers:] {
+					b.d.Fleet.Remove(server.ID)
+				}
+				time.AfterFunc(time.Second, func() {
+					for range 3 {
+						b.d.Budgets.Request("models")
+					}
+				})
+				caller := b.serve("/chat/")
+				require.True(t, mayEnd)
+				assert.Equal(t, "1 2 3 4 5 6 ", caller.text)
+				assert.True(t, caller.ended)
+				asked := make(map[string]bool)
+				for _, a := range b.script.attempts {
+					asked[a.Server.ID] = true
+				}
+				if name != "connect failed four times" {
+					assert.LessOrEqual(t, len(asked), 3, "max_attempts servers are sent the request")
+				}
+			})
+		})
+	}
+}
+
 // afterSending runs f once an attempt was sent.
 func afterSending(s step, f func()) step {
 	return func(ctx context.Context, a *Attempt) (Answer, error) {
