mesh: Don't close links when the clock jumps or the instance is late

A jump of the time of day by more than 3.5 s, or as long a lack of processor time, closed all links of an instance at once: the time since the last frame was taken from the time of day, and frames that had arrived were not read yet. Hints, evidence, load reports and streams looked for at peers were gone for a moment. Found by the review, by reading; the users' record has such bursts, but stops explain them too.

The time is measured with the steady clock, and a check that is itself late does not count.

--- a/internal/peers/mesh/link.go
+++ b/internal/peers/mesh/link.go
@@ -19,6 +19,9 @@
 	// receiveTimeout is the time without a received frame after which the link is
 	// closed.
 	receiveTimeout = 3500 * time.Millisecond
+	// maxCheckDelay is the time between two checks of receiveTimeout from which on the process
+	// counts as late.
+	maxCheckDelay = 2 * keepaliveInterval
 	// writeTimeout bounds the write of one frame.
 	writeTimeout = 3 * time.Second
 	// maxRequestsAtOnce bounds the concurrent requests from one peer.
@@ -37,7 +40,9 @@
 	// dialed is set if this instance opened the connection.
 	dialed bool
 	queue  *queue
-	// lastReceived is the Unix time in nanoseconds of the last received frame.
+	// opened is when the link was opened, and lastReceived the time from then to the last
+	// received frame, in nanoseconds. The time of day may jump.
+	opened       time.Time
 	lastReceived atomic.Int64
 	requestSlots chan struct{}
 	closed       chan struct{}
@@ -56,8 +61,8 @@
 		requestSlots:   make(chan struct{}, maxRequestsAtOnce),
 		closed:         make(chan struct{}),
 		pendingReplies: make(map[uint64]chan envelope),
+		opened:         time.Now(),
 	}
-	l.lastReceived.Store(time.Now().UnixNano())
 	return l
 }
 
@@ -85,6 +90,7 @@
 func (l *link) writeLoop(ctx context.Context) {
 	ticker := time.NewTicker(keepaliveInterval)
 	defer ticker.Stop()
+	checkedAt := time.Now()
 	for {
 		select {
 		case <-ctx.Done():
@@ -93,9 +99,10 @@
 			return
 		case <-l.queue.wake:
 		case <-ticker.C:
-			if l.sinceLastReceived() > receiveTimeout {
+			if l.isSilent(checkedAt) {
 				return
 			}
+			checkedAt = time.Now()
 			l.queueKeepalive()
 		}
 		if l.writeQueued(ctx) != nil {
@@ -104,8 +111,20 @@
 	}
 }
 
+// isSilent reports whether no frame arrived within receiveTimeout. If the last check was long ago
+// this process was late, and frames may have arrived that were not read yet.
+func (l *link) isSilent(checkedAt time.Time) bool {
+	if time.Since(checkedAt) >= maxCheckDelay {
+		l.received()
+	}
+	return l.sinceLastReceived() > receiveTimeout
+}
+
+// received records that a frame arrived.
+func (l *link) received() { l.lastReceived.Store(int64(time.Since(l.opened))) }
+
 func (l *link) sinceLastReceived() time.Duration {
-	return time.Since(time.Unix(0, l.lastReceived.Load()))
+	return time.Since(l.opened) - time.Duration(l.lastReceived.Load())
 }
 
 func (l *link) queueKeepalive() {
@@ -146,7 +165,7 @@
 		if err != nil {
 			return
 		}
-		l.lastReceived.Store(time.Now().UnixNano())
+		l.received()
 		e, err := decodeEnvelope(frame)
 		if err != nil {
 			l.mesh.counters.rejected.Add(1)
