--- a/internal/events/servers.go
+++ b/internal/events/servers.go
@@ -123,7 +123,7 @@
 	})
 	RelayRefused = register(Event{
 		Number: 6028, Name: "relay_refused", Level: logrus.InfoLevel,
-		Message: "the instance in peer did not connect to the backend server for this one, for the reason in error; another one is asked",
+		Message: "the instance in peer did not connect to the backend server for this one, for the reason in error, after duration_ms; another one is asked",
 		Action:  "If most peers refuse, look for 6025 there.",
 	})
 	ContentDisconnectsServers = register(Event{
--- a/internal/serverpath/relays.go
+++ b/internal/serverpath/relays.go
@@ -180,6 +180,7 @@
 			break
 		}
 		tried = append(tried, peer)
+		askedAt := time.Now()
 		c, err := p.openThrough(ctx, peer, server)
 		switch {
 		case err == nil, errors.Is(err, relay.ErrServerUnreachable):
@@ -187,7 +188,7 @@
 			p.fire(service, statechart.PathRelayFound)
 			return c, err
 		case ctx.Err() == nil:
-			p.Log.Log(events.RelayRefused, events.Fields{Server: server.ID, Path: service, Peer: peer, Err: err})
+			p.Log.Log(events.RelayRefused, events.Fields{Server: server.ID, Path: service, Peer: peer, Duration: time.Since(askedAt), Err: err})
 			p.relays.avoid(peer, errors.Is(err, relay.ErrUnavailable))
 		}
 	}
