serverpath, wait: Count the time of a check only while the process runs

Instances whose links were intact reported that they reach no server (6025, 61 times in the logs of 16 loads, 47 of them within 1.5 s after the process had paused for 0.4 s or more). They left their path, refused the streams of others with "no backend server of the service can be reached", and loaded these with their own.

Cause (hypothesis 1): a check ended 800 ms after it began by the clock. After a pause its context had ended before the connects in progress could go on, and that counted as a cut.

wait.Bound counts its time in eight steps, each of which begins when the one before was noticed, so a pause counts as one step. The check uses it. A cut is found after 800 ms as before.

--- a/internal/serverpath/check.go
+++ b/internal/serverpath/check.go
@@ -7,6 +7,7 @@
 
 	"github.com/basilrail/basilrail/internal/fleet"
 	"github.com/basilrail/basilrail/internal/statechart"
+	"github.com/basilrail/basilrail/internal/wait"
 )
 
 const (
@@ -14,8 +15,9 @@
 	// whose servers are down is wrongly found unreachable by one check in 16, until the next
 	// one.
 	maxCheckedServers = 4
-	// checkTimeout bounds a check, and checkSpacing is the time until it tries one more server.
-	// A connection takes a few milliseconds, on an instance without processor time far longer.
+	// checkTimeout bounds a check, in time that this process ran: what it misses while it
+	// lacks processor time says nothing about the links. checkSpacing is the time until a check
+	// tries one more server. A connection takes a few milliseconds.
 	checkTimeout = 800 * time.Millisecond
 	checkSpacing = 50 * time.Millisecond
 )
@@ -76,7 +78,7 @@
 	if len(servers) == 0 {
 		return true
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), checkTimeout)
+	ctx, cancel := wait.Bound(context.Background(), checkTimeout)
 	defer cancel()
 	results := make(chan bool, len(servers))
 	spacing := time.NewTicker(checkSpacing)
