serverpath: Give up no relay for the time in which this process did not run

An instance that had paused for 1.5 s gave up all streams that it was opening and asked the next peers for them, with a new handshake each.

Cause: the bound on the opening of a stream was on the clock, as that of the check was. It is counted with wait.Bound as well.

--- a/internal/serverpath/relays.go
+++ b/internal/serverpath/relays.go
@@ -16,11 +16,12 @@
 	"github.com/basilrail/basilrail/internal/peers"
 	"github.com/basilrail/basilrail/internal/relay"
 	"github.com/basilrail/basilrail/internal/statechart"
+	"github.com/basilrail/basilrail/internal/wait"
 )
 
 const (
-	// relayTimeout bounds the opening of a stream through one peer: a few round trips, but both
-	// ends may be short of processor time.
+	// relayTimeout bounds the opening of a stream through one peer, in time that this process
+	// ran: a few round trips, but the peer may be short of processor time.
 	relayTimeout = 1500 * time.Millisecond
 	// maxRelayTries is the number of peers that are asked for one connection. One that takes no
 	// stream says so within a round trip. With five of six instances cut off, one connection in
@@ -206,7 +207,7 @@
 }
 
 func (p *Paths) openThrough(ctx context.Context, peer string, server *fleet.Server) (net.Conn, error) {
-	ctx, cancel := context.WithTimeout(ctx, relayTimeout)
+	ctx, cancel := wait.Bound(ctx, relayTimeout)
 	defer cancel()
 	p.relays.count(peer, 1)
 	c, err := p.Options.Relay(ctx, peer, server.ID)
