--- a/internal/serverpath/openings_test.go
+++ b/internal/serverpath/openings_test.go
@@ -140,3 +140,41 @@
 		assert.EqualValues(t, minOpenings, o.limit)
 	})
 }
+
+// TestRelayIsChosenWhenItsStreamIsOpened guards against streams that are opened, after a wait for
+// their turn, at peers that have refused others meanwhile.
+func TestRelayIsChosenWhenItsStreamIsOpened(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
+		charts, err := statechart.Load()
+		require.NoError(t, err)
+		network := membus.New()
+		network.Join("early", "z0")
+		network.Join("late", "z0")
+		set := fleet.NewSet("z0", nil)
+		set.Put(fleet.Registration{ID: "s0", Service: "models", Address: "s0", FailureDomain: "z0", Slots: 8})
+		asked := make(chan string, 2)
+		p := New(Options{
+			Bus: network.Join("i0", "z0"), Fleet: set, Chart: charts.Path, FailureDomain: "z0",
+			Relay: func(_ context.Context, peer, _ string) (net.Conn, error) {
+				asked <- peer
+				near, far := net.Pipe()
+				_ = far.Close()
+				return near, nil
+			},
+		})
+		for range firstOpenings {
+			require.NoError(t, p.openings.acquire(t.Context()))
+		}
+		p.relays.avoid("late", true)
+		go func() {
+			server, _ := set.Snapshot().Server("s0")
+			if c, err := p.Relay(t.Context(), server); assert.NoError(t, err) {
+				_ = c.Close()
+			}
+		}()
+		time.Sleep(2 * avoidFor)
+		p.relays.avoid("early", true)
+		p.openings.release(time.Now(), true, false)
+		assert.Equal(t, "late", <-asked)
+	})
+}
--- a/internal/serverpath/relays.go
+++ b/internal/serverpath/relays.go
@@ -177,8 +177,12 @@
 	var tried []string
 	var last error
 	for len(tried) < maxRelayTries && ctx.Err() == nil {
+		if last = p.openings.acquire(ctx); last != nil {
+			break
+		}
 		peer, ok := p.chooseRelay(service, tried)
 		if !ok {
+			p.openings.release(time.Now(), false, false)
 			break
 		}
 		tried = append(tried, peer)
@@ -208,10 +212,8 @@
 	return p.relays.choose(service, tried, p.rng)
 }
 
+// openThrough opens a stream through a peer, in the turn that the caller has acquired.
 func (p *Paths) openThrough(ctx context.Context, peer string, server *fleet.Server) (net.Conn, error) {
-	if err := p.openings.acquire(ctx); err != nil {
-		return nil, err
-	}
 	began := time.Now()
 	bound, cancel := wait.Bound(ctx, relayTimeout)
 	defer cancel()
