--- a/internal/dispatch/position_test.go
+++ b/internal/dispatch/position_test.go
@@ -78,3 +78,36 @@
 		})
 	}
 }
+
+// TestStartedStreamIsNotEscalated guards against a stream that begins again with a larger model, as
+// the server that resumes it has little confidence (ORDER).
+func TestStartedStreamIsNotEscalated(t *testing.T) {
+	b := newSetup(streams(90, 1, 2, NewSendError(retry.OutcomeDisconnected, errTest)), streams(1, 3, 4, nil), streams(90, 1, 4, nil))
+	got := b.serve("/chat/")
+	assert.Equal(t, "1 2 3 4 ", got.text)
+	assert.True(t, got.ended)
+	assert.Len(t, b.script.attempts, 2)
+	assert.Equal(t, b.script.attempts[0].Model, b.script.attempts[1].Model)
+}
+
+// TestFailureOfAnEarlierServerStaysOutOfTheStream guards against the error of a server in the stream
+// of the one that answered after it, when that stream breaks off (MIXED).
+func TestFailureOfAnEarlierServerStaysOutOfTheStream(t *testing.T) {
+	broken := NewSendError(retry.OutcomeDisconnected, errTest)
+	for name, steps := range map[string][]step{
+		"before":         {answers(500, "error"), streams(90, 1, 2, broken)},
+		"before, after":  {answers(500, "error"), streams(90, 1, 2, broken), answers(503, "error")},
+		"after":          {streams(90, 1, 2, broken), answers(500, "error")},
+		"after, refused": {streams(90, 1, 2, broken), fails(retry.OutcomeNoCapacity), answers(404, "error")},
+		"rejected":       {streams(90, 1, 2, broken), fails(retry.OutcomeRejected)},
+	} {
+		t.Run(name, func(t *testing.T) {
+			got := newSetup(steps...).serve("/chat/")
+			assert.Equal(t, "1 2 ", got.text)
+			assert.Equal(t, http.StatusOK, got.status)
+			assert.True(t, got.aborted)
+			assert.False(t, got.ended)
+			assert.Nil(t, got.refusal)
+		})
+	}
+}
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -188,3 +188,24 @@
 	r.server.open = 0
 	r.dial(t)
 }
+
+// TestStreamLostInsideAMessageNeverLooksComplete guards against a stream that ends as complete
+// although the relay was lost while it passed bytes on.
+func TestStreamLostInsideAMessageNeverLooksComplete(t *testing.T) {
+	r := newTestRelay(t, func(c *net.TCPConn) {
+		defer c.Close()
+		_, _ = io.Copy(io.Discard, c)
+	})
+	stream := r.dial(t)
+	relayed := <-r.conns
+	message, err := relayed.Writer(t.Context(), websocket.MessageBinary)
+	require.NoError(t, err)
+	// A message that is longer than the buffer of the connection is sent in part.
+	_, err = message.Write(bytes.Repeat([]byte("x"), chunkBytes))
+	require.NoError(t, err)
+	require.NoError(t, relayed.CloseNow())
+	text, err := io.ReadAll(stream)
+	assert.ErrorIs(t, err, ErrRelayLost)
+	assert.NotErrorIs(t, err, io.EOF)
+	assert.NotEmpty(t, text)
+}
