relay: Refuse streams by the clock once the drain delay is over

A relay began to refuse streams when the timer of the drain delay ran, which is late on an instance without processor time. Seen as a failure of TestStoppingRelayTakesNoStreamAfterTheDrainDelay beside a load of 60: the front refused by the clock already, the relay took a stream.

--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -209,3 +209,14 @@
 	assert.NotErrorIs(t, err, io.EOF)
 	assert.NotEmpty(t, text)
 }
+
+// TestRelayThatStopsLateTakesNoStream guards against streams that a stopping relay accepts because
+// it had no processor time when it was to refuse them.
+func TestRelayThatStopsLateTakesNoStream(t *testing.T) {
+	r := newTestRelay(t, func(c *net.TCPConn) { _, _ = io.Copy(io.Discard, c) })
+	r.server.AcceptUntil(time.Now().Add(time.Hour))
+	require.NoError(t, r.dial(t).Close())
+	r.server.AcceptUntil(time.Now())
+	_, err := Dial(t.Context(), r, "peer", "s1")
+	assert.ErrorIs(t, err, ErrUnavailable)
+}
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"sync"
+	"time"
 
 	"github.com/coder/websocket"
 	"github.com/fxamacker/cbor/v2"
@@ -30,6 +31,8 @@
 	mu       sync.Mutex
 	open     int
 	stopping bool
+	// acceptUntil is when the server begins to refuse streams; zero for never.
+	acceptUntil time.Time
 	// idle is closed when the last stream ends after Stop.
 	idle chan struct{}
 }
@@ -46,6 +49,14 @@
 	return s.open
 }
 
+// AcceptUntil makes the server refuse further streams from a time on. It reads the clock, as Stop
+// may come late.
+func (s *Server) AcceptUntil(until time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.acceptUntil = until
+}
+
 // Stop refuses further streams and waits for the end of those that are open, or of the
 // context, whose error it then returns.
 func (s *Server) Stop(ctx context.Context) error {
@@ -73,7 +84,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	switch {
-	case s.stopping:
+	case s.stopping, !s.acceptUntil.IsZero() && !time.Now().Before(s.acceptUntil):
 		return errStopping
 	case s.open >= maxStreams:
 		return errTooManyStreams
