--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 GO ?= go
 TOOLS = $(GO) tool -modfile=tools/go.mod
 
-.PHONY: build test lint fmt race generate check-generated run demo measure capacity soak soak-processes deploy-build
+.PHONY: build test lint fmt race generate check-generated run demo measure capacity soak soak-processes soak-fleet deploy-build
 
 build:
 	$(GO) build -o bin/ ./cmd/...
@@ -59,6 +59,12 @@
 soak-processes:
 	BASILRAIL_SOAK_SEEDS=$(SOAK_SEEDS) BASILRAIL_SOAK_FIRST=$$(date +%s) $(GO) test -count=1 -race -run TestSoak -parallel 6 -timeout 30m ./platform
 
+# soak-fleet runs fleets of processes that are short of processor time, with new seeds; a failure
+# prints its seed. platform/processfleet_test.go lists the variables that change the runs.
+FLEET_SEEDS ?= 50
+soak-fleet:
+	BASILRAIL_FLEET_SEEDS=$(FLEET_SEEDS) BASILRAIL_FLEET_FIRST=$$(date +%s) $(GO) test -count=1 -run TestFleetShortOfProcessorTimeLosesNoStream/one_build -parallel 4 -timeout 60m ./platform
+
 # deploy-build runs the build line of the deploy file.
 deploy-build:
 	@line=$$(sed -n 's/^build = "\(.*\)"$$/\1/p' deploy/system.toml); echo "$$line"; sh -c "$$line"
