serverpath: Refuse a request that gets no turn to open a stream in time

Requests of instances that are cut off waited for their turn to open a stream until their deadline while too many were being opened, and were then refused. What can't be served is refused at once: they wait no longer than the opening of one stream may take.

Evidence: TestRequestWithoutATurnIsRefused.

--- a/internal/serverpath/relays.go
+++ b/internal/serverpath/relays.go
@@ -177,7 +177,7 @@
 	var tried []string
 	var last error
 	for len(tried) < maxRelayTries && ctx.Err() == nil {
-		if last = p.openings.acquire(ctx); last != nil {
+		if last = p.awaitTurn(ctx); last != nil {
 			break
 		}
 		peer, ok := p.chooseRelay(service, tried)
@@ -212,6 +212,14 @@
 	return p.relays.choose(service, tried, p.rng)
 }
 
+// awaitTurn waits until one more stream may be opened, no longer than the opening of one may take: a
+// request for which there is none by then is refused.
+func (p *Paths) awaitTurn(ctx context.Context) error {
+	bound, cancel := wait.Bound(ctx, relayTimeout)
+	defer cancel()
+	return p.openings.acquire(bound)
+}
+
 // openThrough opens a stream through a peer, in the turn that the caller has acquired.
 func (p *Paths) openThrough(ctx context.Context, peer string, server *fleet.Server) (net.Conn, error) {
 	began := time.Now()
