--- a/internal/dispatch/secure.go
+++ b/internal/dispatch/secure.go
@@ -54,6 +54,7 @@
 		return false
 	}
 	if placed == nil {
+		// The request waits for its turn; nextPlacement counts only repeats that are placed.
 		x.d.Metrics.Repeats.Add(x.service, 1)
 	}
 	x.next = placed
