--- a/internal/dispatch/deadlyfleet_test.go
+++ b/internal/dispatch/deadlyfleet_test.go
@@ -74,12 +74,18 @@
 	silentUntil  time.Time
 	// falls are when servers fell over.
 	falls []time.Time
+	// work, if set, returns how long a server runs a request; servers then answer without a
+	// stream. A run goes on for linger after its caller left.
+	work   func(rng *rand.Rand) time.Duration
+	linger time.Duration
 }
 
 // simInstance is one instance; it is replaced when it restarts.
 type simInstance struct {
 	name string
 	d    *Dispatcher
+	// ctx is done at the end of the process.
+	ctx  context.Context
 	stop context.CancelFunc
 }
 
@@ -177,6 +183,9 @@
 			Host: "h", Prefix: "/chat/", Kind: routing.Streaming, Resumable: true, CarriesPrompt: true, Timeout: 20 * time.Second,
 			TargetLatency: 3 * time.Second, MaxEventGap: 800 * time.Millisecond, MaxAttempts: 3, Models: []string{"small", "large"},
 			Targets: []routing.Target{{Service: "models", Weight: 1}},
+		}, {
+			Host: "h", Prefix: "/desk/", Kind: routing.NonIdempotent, Timeout: simDeskTimeout, TargetLatency: 100 * time.Millisecond, MaxAttempts: 2,
+			Targets: []routing.Target{{Service: "models", Weight: 1}},
 		}},
 	}))
 	state.Confirm(bootclock.Time(time.Hour))
@@ -208,7 +217,7 @@
 		Budgets:       retry.NewBudgets(retry.Limit{Ratio: 0.9, Slack: 100, Window: 10 * time.Second}, func() int { return 1 }),
 		FailureDomain: domain, Seed: seed, Metrics: metrics.New(metrics.Sources{}),
 	})
-	return &simInstance{name: name, d: d, stop: stop}
+	return &simInstance{name: name, d: d, ctx: ctx, stop: stop}
 }
 
 // others returns the names of the other instances.
--- a/internal/dispatch/simserver_test.go
+++ b/internal/dispatch/simserver_test.go
@@ -40,6 +40,9 @@
 // Send implements Transport.
 func (t *simTransport) Send(ctx context.Context, a *Attempt) (Answer, error) {
 	f := t.fleet
+	if f.work != nil {
+		return t.sendPlain(ctx, a)
+	}
 	deadly := f.deadlyPartOf(a.Request.Prompt)
 	f.mu.Lock()
 	server, ok := f.servers[a.Server.ID]
--- a/internal/peers/membus/membus.go
+++ b/internal/peers/membus/membus.go
@@ -6,6 +6,7 @@
 	"context"
 	"sort"
 	"sync"
+	"time"
 
 	"github.com/fxamacker/cbor/v2"
 	"github.com/pkg/errors"
@@ -20,6 +21,9 @@
 // Network connects the buses of several instances. The zero value is not usable; call
 // New.
 type Network struct {
+	// Latency, if set, returns how long a message is on the way.
+	Latency func() time.Duration
+
 	mu          sync.Mutex
 	buses       map[string]*Bus
 	partitioned map[string]bool
@@ -40,7 +44,8 @@
 
 var _ peers.Bus = (*Bus)(nil)
 
-// Join adds an instance and returns its bus.
+// Join adds an instance and returns its bus. An earlier bus of the same instance sends nothing any
+// more.
 func (n *Network) Join(id, failureDomain string) *Bus {
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -67,12 +72,18 @@
 }
 
 // Broadcast delivers to every instance, or to those of the sender's failure domain, if neither
-// it nor the sender is partitioned. It returns after all handlers have run.
+// it nor the sender is partitioned. Without latency it returns after all handlers have run.
 func (b *Bus) Broadcast(kind peers.Kind, body any) {
 	for _, p := range b.Peers() {
-		if p.Connected && (p.FailureDomain == b.domain || !peers.IsInsideDomain(kind)) {
-			_ = b.Request(context.Background(), p.ID, kind, body, nil)
+		if !p.Connected || (p.FailureDomain != b.domain && peers.IsInsideDomain(kind)) {
+			continue
+		}
+		send := func() { _ = b.Request(context.Background(), p.ID, kind, body, nil) }
+		if b.network.Latency != nil {
+			go send()
+			continue
 		}
+		send()
 	}
 }
 
@@ -86,7 +97,12 @@
 	if err != nil {
 		return errors.Wrap(err, "encode message")
 	}
+	b.network.travel()
 	answer, err := handler(ctx, peers.Message{Kind: kind, From: b.self, Body: encoded})
+	b.network.travel()
+	if ctx.Err() != nil {
+		return ctx.Err()
+	}
 	if err != nil || reply == nil {
 		return err
 	}
@@ -97,11 +113,18 @@
 	return cbor.Unmarshal(encoded, reply)
 }
 
+// travel waits for the latency of one message.
+func (n *Network) travel() {
+	if n.Latency != nil {
+		time.Sleep(n.Latency())
+	}
+}
+
 func (b *Bus) route(peer string, kind peers.Kind) (peers.Handler, error) {
 	b.network.mu.Lock()
 	defer b.network.mu.Unlock()
 	target, ok := b.network.buses[peer]
-	if !ok || b.network.partitioned[peer] || b.network.partitioned[b.self] {
+	if !ok || b.network.partitioned[peer] || b.network.partitioned[b.self] || b.network.buses[b.self] != b {
 		return nil, ErrPartitioned
 	}
 	handler, ok := target.handlers[kind]
