brittle: Grant the slots of brittle servers by one arbiter per server

Callers saw brittle servers fall over (LIMIT), and most of their requests refused while slots were free. Instances shared a server's slots by load reports that are older than short requests, and dealt the rest out by a hash that gives most instances of a large fleet nothing.

Now each request to a brittle server occupies a slot that the server's arbiter granted: an instance of its failure domain, chosen by a hash. Instances tell it all slots that they occupy with each message, so it holds nothing that others don't know; a new arbiter claims the server and waits until they have reported. Slots of runs that may go on (caller left, answer given up, process replaced) stay occupied for a while. An instance without quorum grants nothing; in a small fleet one that is cut off uses a share that the arbiter sets aside. A new process asks its peers which servers are brittle before it sends. Requests that find no slot are refused at once, as not run, with a spread Retry-After.

--- a/internal/announced/table.go
+++ b/internal/announced/table.go
@@ -110,16 +110,44 @@
 	}
 }
 
-// handle applies a notice from a peer.
+// handle applies a notice from a peer. A notice without a server asks for all numbers.
 func (t *Table) handle(_ context.Context, msg peers.Message) (any, error) {
 	var m message
 	if err := cbor.Unmarshal(msg.Body, &m); err != nil {
 		return nil, errors.Wrap(err, "decode a notice of an announced number")
 	}
+	if m.Server == "" {
+		return t.all(), nil
+	}
 	t.apply(m, msg.From)
 	return nil, nil
 }
 
+// all returns the numbers as notices.
+func (t *Table) all() []message {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	list := make([]message, 0, len(t.byServer))
+	for server, e := range t.byServer {
+		if time.Since(e.announcedAt) <= expiry {
+			list = append(list, message{Server: server, Started: e.started, Number: e.number, Announced: true})
+		}
+	}
+	return list
+}
+
+// Fetch applies the numbers that a peer knows. An instance that has just started knows none.
+func (t *Table) Fetch(ctx context.Context, peer string) error {
+	var list []message
+	if err := t.Bus.Request(ctx, peer, t.Kind, message{}, &list); err != nil {
+		return errors.Wrapf(err, "fetch announced numbers from %s", peer)
+	}
+	for _, m := range list {
+		t.apply(m, peer)
+	}
+	return nil
+}
+
 // apply records a number, or its end, and reports whether the peers should be notified.
 func (t *Table) apply(m message, from string) bool {
 	if m.Announced && !(m.Number >= 0 && !math.IsInf(m.Number, 0)) { // also for NaN
@@ -186,8 +214,8 @@
 	return e.number, true
 }
 
-// IsRecent reports whether some server of a service announced a number within serviceMemory:
-// another one, such as one that has just started, may do so with its first answer.
+// IsRecent reports whether some server of a service announces a number, or announced one within
+// serviceMemory: another one, such as one that has just started, may do so with its first answer.
 func (t *Table) IsRecent(service string) bool {
 	if t.Empty() {
 		return false
@@ -195,5 +223,16 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	at, ok := t.byService[service]
-	return ok && time.Since(at) < serviceMemory
+	if !ok || time.Since(at) < serviceMemory {
+		return ok
+	}
+	// An instance that sends nothing to the servers gets no answers that announce the number again.
+	snap := t.Fleet.Snapshot()
+	for id, e := range t.byServer {
+		server, known := snap.Server(id)
+		if known && server.Registration.Service == service && server.Registration.Started == e.started && time.Since(e.announcedAt) <= expiry {
+			return true
+		}
+	}
+	return false
 }
--- a/internal/brittle/brittle.go
+++ b/internal/brittle/brittle.go
@@ -2,21 +2,20 @@
 // to turn away more than a number of requests within a second, from all instances together,
 // falls over.
 //
-// A server turns a request away if it has no room for it. An instance knows the requests that
-// others of its failure domain have in flight, late, and none of the others'. Therefore the
-// slots of a server are divided between the instances of its domain and the others. Instances
-// of the domain share their part by the known load, as far as they are linked; the rest is
-// dealt out by a hash over the list of the instances, without asking them. A server that turned
-// a request away gets no other one from any instance for a while.
+// A server turns a request away if it has no room for it. Therefore each request to a brittle server
+// occupies one of its slots, which is granted by the server's arbiter: an instance in its failure
+// domain, chosen by a hash over the list of the instances. Each instance tells the arbiter all slots
+// that it occupies whenever it asks for one or frees one, so that the arbiter keeps nothing that the
+// others don't know. A new arbiter first asks all of them. Without the arbiter nothing is sent but
+// what a small fleet sets aside for instances that are cut off.
 package brittle
 
 import (
 	"context"
-	"math"
+	"math/rand/v2"
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/fxamacker/cbor/v2"
 	"github.com/pkg/errors"
 
@@ -24,25 +23,13 @@
 	"github.com/basilrail/basilrail/internal/events"
 	"github.com/basilrail/basilrail/internal/fleet"
 	"github.com/basilrail/basilrail/internal/peers"
-	"github.com/basilrail/basilrail/internal/requestlimit"
 )
 
 const (
-	// nearShare is the part of a server's slots for the instances of its failure domain, which
-	// prefer it.
-	nearShare = 0.75
-	// openShare is the part of these slots that they may use up to in any order: beyond it,
-	// each has slots of its own. Load reports are a tenth of a second old.
-	openShare = 0.6
-	// listAge is how long the list of the instances is used until it is read again.
-	listAge = 200 * time.Millisecond
 	// fullFor is how long a server that turned a request away gets no other one.
 	fullFor = time.Second
-	// silentFor is how long a server with requests in flight may send nothing until it gets
-	// no other one: its slots don't become free.
-	silentFor = 300 * time.Millisecond
-	// maxFull is the number of servers from which on those that have room again are dropped.
-	maxFull = 256
+	// maxRecent is the number of servers from which on outdated states are dropped.
+	maxRecent = 256
 )
 
 // Limits are the limits of requests that servers named; see dispatch.Limits.
@@ -65,44 +52,45 @@
 	Log    *events.Logger
 }
 
-// message is the body of peers.KindServerFull.
-type message struct {
-	Server string `cbor:"1,keyasint"`
-	// Started distinguishes successive processes of a server with the same id.
-	Started int64 `cbor:"2,keyasint"`
-}
-
 // Guard decides whether a brittle server has room for a request. It is safe for concurrent
 // use; a nil *Guard records nothing.
 type Guard struct {
 	Options
-	self    requestlimit.Member
 	servers *announced.Table
+	arbiter *arbiter
+	start   start
+	// process distinguishes successive processes of this instance.
+	process uint64
 
 	mu sync.Mutex
 	// full holds, by server, the time until which it gets no request.
 	full map[string]time.Time
-	// list holds the other instances as of listedAt.
-	list     instances
+	// unreachable holds the arbiters that did not answer, and until when they are not asked.
+	unreachable map[string]time.Time
+	// claims holds the last claim of each server.
+	claims   map[serverKey]claim
+	holdings map[serverKey]*holdings
+	// lastSlot and sequence are the numbers of the last slot and of the last message about slots.
+	lastSlot slotID
+	sequence uint64
+	// list holds the instances as of listedAt.
+	list     *members
 	listedAt time.Time
 }
 
-// instances are the other instances.
-type instances struct {
-	byDomain map[string][]requestlimit.Member
-	// linked is the number of linked ones in the own failure domain, whose load is known.
-	linked int
-}
-
 // New returns a Guard and registers its message handlers.
 func New(o Options) *Guard {
 	g := &Guard{
-		Options: o, self: requestlimit.MemberOf(o.Bus.Self()), full: make(map[string]time.Time),
+		Options: o, process: rand.Uint64() | 1, full: make(map[string]time.Time), unreachable: make(map[string]time.Time),
+		start: start{began: time.Now()}, claims: make(map[serverKey]claim), holdings: make(map[serverKey]*holdings),
 		servers: announced.New(announced.Options{
 			Bus: o.Bus, Fleet: o.Fleet, Kind: peers.KindServerBrittle, Began: events.ServerBrittle, Ended: events.ServerBrittleEnded, Log: o.Log,
 		}),
 	}
-	o.Bus.Handle(peers.KindServerFull, g.handle)
+	g.arbiter = newArbiter(g.claim)
+	o.Bus.Handle(peers.KindServerFull, g.handleFull)
+	o.Bus.Handle(peers.KindSlot, g.handleSlot)
+	o.Bus.Handle(peers.KindSlotClaim, g.handleClaim)
 	return g
 }
 
@@ -123,8 +111,14 @@
 
 // Rejected records that a server turned a request away for lack of room.
 func (g *Guard) Rejected(server *fleet.Server) {
-	if g.isBrittle(server) && g.markFull(server, "") {
-		g.Bus.Broadcast(peers.KindServerFull, message{Server: server.ID, Started: server.Registration.Started})
+	if !g.isBrittle(server) {
+		return
+	}
+	g.mu.Lock()
+	g.holdingsOf(keyOf(server)).isRejected = true
+	g.mu.Unlock()
+	if g.markFull(server, "") {
+		g.Bus.Broadcast(peers.KindServerFull, fullMessage{Server: server.ID, Started: server.Registration.Started})
 	}
 }
 
@@ -135,9 +129,9 @@
 	return announced || g.servers.IsRecent(server.Registration.Service)
 }
 
-// handle applies a notice that a server turned a request of a peer away.
-func (g *Guard) handle(_ context.Context, msg peers.Message) (any, error) {
-	var m message
+// handleFull applies a notice that a server turned a request of a peer away.
+func (g *Guard) handleFull(_ context.Context, msg peers.Message) (any, error) {
+	var m fullMessage
 	if err := cbor.Unmarshal(msg.Body, &m); err != nil {
 		return nil, errors.Wrap(err, "decode server-full notice")
 	}
@@ -148,6 +142,25 @@
 	return nil, nil
 }
 
+// handleSlot applies a message of a peer about the slots of a server of which this instance is the
+// arbiter.
+func (g *Guard) handleSlot(_ context.Context, msg peers.Message) (any, error) {
+	var m slotMessage
+	if err := cbor.Unmarshal(msg.Body, &m); err != nil {
+		return nil, errors.Wrap(err, "decode a message about slots")
+	}
+	return slotReply{Granted: g.decide(msg.From, &m)}, nil
+}
+
+// decide records the slots that an instance occupies and reports whether it gets another one.
+func (g *Guard) decide(from string, m *slotMessage) bool {
+	server, known := g.Fleet.Snapshot().Server(m.Server)
+	if !known || server.Registration.Started != m.Started || !g.IsListed() {
+		return false
+	}
+	return g.arbiter.handle(from, m, server, g.members())
+}
+
 // markFull records that a server turned away a request, of this instance unless a peer is given, and
 // reports whether it had room before.
 func (g *Guard) markFull(server *fleet.Server, peer string) bool {
@@ -158,26 +171,40 @@
 	defer g.mu.Unlock()
 	now := time.Now()
 	wasFull := now.Before(g.full[server.ID])
-	if len(g.full) >= maxFull {
-		for id, until := range g.full {
-			if !now.Before(until) {
-				delete(g.full, id)
-			}
-		}
-	}
+	dropOutdated(g.full, now)
 	g.full[server.ID] = now.Add(fullFor)
 	return !wasFull
 }
 
-// isFull reports whether a server has just turned a request away.
-func (g *Guard) isFull(server string) bool {
+// dropOutdated removes the ended states if there are many.
+func dropOutdated(states map[string]time.Time, now time.Time) {
+	if len(states) < maxRecent {
+		return
+	}
+	for id, until := range states {
+		if !now.Before(until) {
+			delete(states, id)
+		}
+	}
+}
+
+// members returns the instances.
+func (g *Guard) members() *members {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return time.Now().Before(g.full[server])
+	now := time.Now()
+	if g.list == nil || now.Sub(g.listedAt) >= listAge {
+		g.list, g.listedAt = newMembers(g.list, g.Bus.Self(), g.FailureDomain, g.Bus.Peers(), now), now
+	}
+	return g.list
 }
 
-// hasRoom reports whether a request may be sent to a server as far as its room goes.
-func (g *Guard) hasRoom(id string) bool {
+// MaySend reports whether a request may be sent to a server now, as far as this instance knows
+// without asking the server's arbiter.
+func (g *Guard) MaySend(server string) bool { return g.Limits.MaySend(server) && g.mayAsk(server) }
+
+// mayAsk reports whether a slot of a server may be asked for.
+func (g *Guard) mayAsk(id string) bool {
 	if g.servers.Empty() {
 		return true
 	}
@@ -185,79 +212,13 @@
 	if !known || !g.isBrittle(server) {
 		return true
 	}
-	if g.isFull(id) || server.SilentFor() >= silentFor {
-		return false
-	}
-	if !g.IsListed() {
-		return false
-	}
-	return g.mayUseSlot(server, g.instances())
-}
-
-// mayUseSlot reports whether this instance may use one more slot of a server.
-func (g *Guard) mayUseSlot(server *fleet.Server, list instances) bool {
-	slots := max(1, server.Registration.Slots)
-	domain := server.Registration.FailureDomain
-	own, known := server.OwnLoad().Requests, server.TotalLoad().Requests
-	seed := xxhash.Sum64String(server.ID)
-	if domain != g.FailureDomain {
-		far := slots
-		if len(list.byDomain[domain]) > 0 {
-			far -= nearSlots(slots)
-		}
-		return own < int64(requestlimit.Share(far, seed, g.self, list.outside(domain)))
-	}
-	near, others := nearSlots(slots), list.byDomain[domain]
-	open := openShare * float64(near) * float64(1+list.linked) / float64(1+len(others))
-	switch {
-	case known < int64(open):
-		return true
-	case known >= int64(near):
-		return false
-	}
-	return own < int64(requestlimit.Share(near, seed, g.self, others))
-}
-
-// nearSlots returns how many slots of a server are for the instances of its failure domain.
-func nearSlots(slots int) int { return int(math.Ceil(nearShare * float64(slots))) }
-
-// outside returns the instances of other failure domains than one.
-func (l instances) outside(domain string) []requestlimit.Member {
-	var list []requestlimit.Member
-	for other, members := range l.byDomain {
-		if other != domain {
-			list = append(list, members...)
-		}
-	}
-	return list
-}
-
-// instances returns the other instances.
-func (g *Guard) instances() instances {
+	arbiter := g.arbiterOf(server, g.members())
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := time.Now()
-	if g.list.byDomain != nil && now.Sub(g.listedAt) < listAge {
-		return g.list
-	}
-	list := instances{byDomain: make(map[string][]requestlimit.Member)}
-	for _, p := range g.Bus.Peers() {
-		list.byDomain[p.FailureDomain] = append(list.byDomain[p.FailureDomain], requestlimit.MemberOf(p.ID))
-		if p.Connected && p.FailureDomain == g.FailureDomain {
-			list.linked++
-		}
-	}
-	g.list, g.listedAt = list, now
-	return list
+	return !now.Before(g.full[id]) && !now.Before(g.unreachable[arbiter])
 }
 
-// MaySend reports whether a request may be sent to a server now.
-func (g *Guard) MaySend(server string) bool { return g.Limits.MaySend(server) && g.hasRoom(server) }
-
-// Take reports whether one more request may be sent to a server now, and counts it against the
-// limit that the server named.
-func (g *Guard) Take(server string) bool { return g.hasRoom(server) && g.Limits.Take(server) }
-
 // Next returns how long this instance must not send to a server because of the limit that it
 // named; zero if it may now. When a server will have room is not known.
 func (g *Guard) Next(server string) time.Duration { return g.Limits.Next(server) }
--- /dev/null
+++ b/internal/brittle/start.go
@@ -0,0 +1,88 @@
+package brittle
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/basilrail/basilrail/internal/peers"
+)
+
+const (
+	// fetchTimeout is the longest time that a request waits until the peers have told a new
+	// process which servers are brittle, and fetchInterval the time between two attempts.
+	fetchTimeout  = 150 * time.Millisecond
+	fetchInterval = 200 * time.Millisecond
+	// fetchPeers is the number of peers that are asked: some may have just started as well.
+	fetchPeers = 3
+	// startTime is how long a process counts as new. The peers repeat their notices in less.
+	startTime = 4 * time.Second
+)
+
+// start is what a new process does until it knows which servers are brittle.
+type start struct {
+	began  time.Time
+	isOver atomic.Bool
+
+	mu sync.Mutex
+	// triedAt is when peers were last asked, and fetched is closed when they have answered; nil
+	// if none are being asked.
+	triedAt time.Time
+	fetched chan struct{}
+}
+
+// awaitBrittle makes sure that a new process knows which servers are brittle before it sends a
+// request, if it has a link to any other instance.
+func (g *Guard) awaitBrittle() {
+	s := &g.start
+	if s.isOver.Load() {
+		return
+	}
+	now := time.Now()
+	s.mu.Lock()
+	fetched, isDue := s.fetched, now.Sub(s.triedAt) >= fetchInterval
+	if fetched == nil && isDue {
+		s.triedAt, s.fetched = now, make(chan struct{})
+	}
+	s.mu.Unlock()
+	switch {
+	case fetched != nil:
+		<-fetched
+	case isDue:
+		isKnown := g.fetch() > 0
+		s.mu.Lock()
+		close(s.fetched)
+		s.fetched = nil
+		s.mu.Unlock()
+		if isKnown || now.Sub(s.began) >= startTime {
+			s.isOver.Store(true)
+		}
+	}
+}
+
+// fetch asks some peers which servers are brittle and returns the number of those that answered.
+func (g *Guard) fetch() int {
+	var linked []peers.Peer
+	for _, p := range g.Bus.Peers() {
+		if p.Connected {
+			linked = append(linked, p)
+		}
+	}
+	rand.Shuffle(len(linked), func(i, j int) { linked[i], linked[j] = linked[j], linked[i] })
+	linked = linked[:min(len(linked), fetchPeers)]
+	ctx, cancel := context.WithTimeout(context.Background(), fetchTimeout)
+	defer cancel()
+	var answered atomic.Int64
+	var all sync.WaitGroup
+	for _, p := range linked {
+		all.Go(func() {
+			if g.servers.Fetch(ctx, p.ID) == nil {
+				answered.Add(1)
+			}
+		})
+	}
+	all.Wait()
+	return int(answered.Load())
+}
--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -13,8 +13,12 @@
 	"github.com/basilrail/basilrail/internal/modeltier"
 	"github.com/basilrail/basilrail/internal/prefill"
 	"github.com/basilrail/basilrail/internal/retry"
+	"github.com/basilrail/basilrail/internal/routing"
 )
 
+// leftCallerTime is how long a request goes on at a brittle server after its caller has left.
+const leftCallerTime = 300 * time.Millisecond
+
 // errEscalated ends an attempt whose answer was discarded because the request is
 // escalated to a larger model.
 var errEscalated = NewSendError(retry.OutcomeServerError, errors.New("answer discarded: request escalated to a larger model"))
@@ -34,7 +38,7 @@
 	defer p.server.End(p.tokens)
 	p.server.AddPrefill(p.prefill)
 	defer x.endPrefill(p)
-	attemptCtx, cancel := context.WithCancel(ctx)
+	attemptCtx, cancel := x.attemptContext(ctx, p)
 	defer cancel()
 	x.watch(p, cancel)
 	x.tried = append(x.tried, p.server.ID)
@@ -49,11 +53,38 @@
 	}
 	err = x.endWatch(ctx, p, err)
 	x.recordOutcome(ctx, p, err)
+	p.slot.End(isRunOver(err))
 	x.recordDisconnect(ctx, p, err)
 	x.reportFaults(ctx, p, err)
 	return err
 }
 
+// attemptContext returns the context of an attempt. A plain request at a brittle server goes on for
+// a moment after its caller has left: once its connection is closed nothing tells when the server
+// is done and has room again.
+func (x *exchange) attemptContext(ctx context.Context, p *placement) (context.Context, context.CancelFunc) {
+	if !p.slot.IsGranted() || x.route.Kind == routing.Streaming {
+		return context.WithCancel(ctx)
+	}
+	attemptCtx, cancel := context.WithDeadline(context.WithoutCancel(ctx), x.deadline)
+	stop := context.AfterFunc(ctx, func() {
+		timer := time.AfterFunc(leftCallerTime, cancel)
+		context.AfterFunc(attemptCtx, func() { timer.Stop() })
+	})
+	return attemptCtx, func() {
+		stop()
+		cancel()
+	}
+}
+
+// isRunOver reports whether the server does no more work for an attempt.
+func isRunOver(err error) bool {
+	if err == nil || err == errServerFailed {
+		return true
+	}
+	return outcomeOf(err).Execution() == apierror.NotRun
+}
+
 // addFault adds a report on a fault that the server or the links of this instance may have.
 func (p *placement) addFault(report func()) { p.faults = append(p.faults, report) }
 
--- a/internal/dispatch/brittleplain_test.go
+++ b/internal/dispatch/brittleplain_test.go
@@ -310,8 +310,10 @@
 				cases = append(cases, plainCase{instances: 68, servers: 4, slots: 6, domains: 4, rejections: rejections, perSecond: perSecond, works: short, fault: noFault})
 			}
 		}
-		for _, fault := range plainFaults[1:] {
+		for _, fault := range plainFaults {
 			cases = append(cases, plainCase{
+				instances: 68, servers: 4, slots: 6, domains: 4, rejections: 1, perSecond: 1000, works: short, fault: fault, latency: time.Millisecond,
+			}, plainCase{
 				instances: 68, servers: 4, slots: 6, domains: 4, rejections: 1, perSecond: 1000, works: short, fault: fault,
 				leaving: 0.2, leaveAfter: 10 * time.Millisecond, latency: time.Millisecond,
 			})
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/basilrail/basilrail/internal/apierror"
 	"github.com/basilrail/basilrail/internal/bootclock"
+	"github.com/basilrail/basilrail/internal/brittle"
 	"github.com/basilrail/basilrail/internal/bubble"
 	"github.com/basilrail/basilrail/internal/fleet"
 	"github.com/basilrail/basilrail/internal/metrics"
@@ -132,10 +133,10 @@
 // noLimits has no limits.
 type noLimits struct{}
 
-func (noLimits) MaySend(string) bool       { return true }
-func (noLimits) Next(string) time.Duration { return 0 }
-func (noLimits) Take(string) bool          { return true }
-func (noLimits) Rejected(*fleet.Server)    {}
+func (noLimits) MaySend(string) bool                          { return true }
+func (noLimits) Next(string) time.Duration                    { return 0 }
+func (noLimits) Take(string, time.Time) (*brittle.Slot, bool) { return nil, true }
+func (noLimits) Rejected(*fleet.Server)                       {}
 
 // newBudgets returns budgets that allow so many retries a service.
 func newBudgets(retries int) *retry.Budgets {
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/basilrail/basilrail/internal/apierror"
+	"github.com/basilrail/basilrail/internal/brittle"
 	"github.com/basilrail/basilrail/internal/events"
 	"github.com/basilrail/basilrail/internal/fifo"
 	"github.com/basilrail/basilrail/internal/fleet"
@@ -67,8 +68,9 @@
 // are brittle.
 type Limits interface {
 	scheduling.Limits
-	// Take reports whether a request may be sent to a server now, and counts it.
-	Take(server string) bool
+	// Take reports whether a request that ends at a time at the latest may be sent to a server now, and
+	// counts it. The slot that it occupies must be ended; it is nil for none.
+	Take(server string, until time.Time) (slot *brittle.Slot, ok bool)
 	// Next returns how long this instance must not send to a server; zero if it may now.
 	Next(server string) time.Duration
 	// Rejected records that a server turned a request away for lack of room.
--- a/internal/dispatch/exchange.go
+++ b/internal/dispatch/exchange.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/basilrail/basilrail/internal/apierror"
+	"github.com/basilrail/basilrail/internal/brittle"
 	"github.com/basilrail/basilrail/internal/events"
 	"github.com/basilrail/basilrail/internal/fleet"
 	"github.com/basilrail/basilrail/internal/modeltier"
@@ -100,7 +101,9 @@
 
 // placement is one attempt at a server, with its load and timing.
 type placement struct {
-	server  *fleet.Server
+	server *fleet.Server
+	// slot is the slot of the server that the attempt occupies; nil for none.
+	slot    *brittle.Slot
 	reason  scheduling.Reason
 	load    float64
 	tokens  int64
@@ -169,17 +172,19 @@
 
 // placeWith places the request at a server that one of the lists of exclusions leaves.
 func (x *exchange) placeWith(exclusions exclusionLists) (*placement, *Refusal) {
-	server, decision, refusal := x.pick(exclusions)
+	server, slot, decision, refusal := x.pick(exclusions)
 	if refusal != nil {
 		return nil, refusal
 	}
 	if refusal := x.checkAllowed(); refusal != nil {
+		slot.End(true)
 		return nil, refusal
 	}
 	if refusal := x.checkQuarantine(); refusal != nil {
+		slot.End(true)
 		return nil, refusal
 	}
-	p := &placement{server: server, tokens: plainTokens, started: time.Now()}
+	p := &placement{server: server, slot: slot, tokens: plainTokens, started: time.Now()}
 	if x.route.CarriesPrompt {
 		p.tokens = max(plainTokens, x.req.Prompt.Tokens())
 		p.prefill = x.d.prefill.Estimate(x.model(), x.req.Prompt.InputTokens)
--- a/internal/dispatch/limits_test.go
+++ b/internal/dispatch/limits_test.go
@@ -8,6 +8,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/basilrail/basilrail/internal/apierror"
+	"github.com/basilrail/basilrail/internal/brittle"
 	"github.com/basilrail/basilrail/internal/fleet"
 	"github.com/basilrail/basilrail/internal/retry"
 )
@@ -29,9 +30,9 @@
 
 func (l *countedLimits) Rejected(*fleet.Server) {}
 
-func (l *countedLimits) Take(server string) bool {
+func (l *countedLimits) Take(server string, _ time.Time) (*brittle.Slot, bool) {
 	l.left[server]--
-	return l.left[server] >= 0
+	return nil, l.left[server] >= 0
 }
 
 // TestEverySendCountsForTheLimitOfAServer guards against repeats that go beyond the limit
--- a/internal/dispatch/pick.go
+++ b/internal/dispatch/pick.go
@@ -6,6 +6,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/basilrail/basilrail/internal/brittle"
 	"github.com/basilrail/basilrail/internal/events"
 	"github.com/basilrail/basilrail/internal/fleet"
 	"github.com/basilrail/basilrail/internal/prefill"
@@ -34,15 +35,21 @@
 // exclusionLists returns the servers to exclude in successive rounds of a choice.
 type exclusionLists func(x *exchange, snap *fleet.Snapshot, now time.Time) [][]string
 
-// pick chooses a server that the first possible of the exclusions leaves.
-func (x *exchange) pick(exclusions exclusionLists) (*fleet.Server, scheduling.Decision, *Refusal) {
+// maxAsks is the number of servers at which a request asks for a slot in vain before it is refused.
+const maxAsks = 8
+
+// errNoSlot is the error of a choice if no server has a free slot.
+var errNoSlot = errors.New("no server has a free slot")
+
+// pick chooses a server that the first possible of the exclusions leaves, and occupies a slot there.
+func (x *exchange) pick(exclusions exclusionLists) (*fleet.Server, *brittle.Slot, scheduling.Decision, *Refusal) {
 	snap := x.d.Fleet.Snapshot()
 	release, ok := x.releaseIn(snap)
 	if !ok || release != x.release {
 		x.d.Log.Log(events.ExchangeReleaseMissing, events.Fields{RequestID: x.req.ID, Path: x.service, Version: x.release})
 	}
 	if !ok {
-		return nil, scheduling.Decision{}, &Refusal{Reason: NoServer, Execution: x.execution, RetryAfter: shortRetryAfter}
+		return nil, nil, scheduling.Decision{}, &Refusal{Reason: NoServer, Execution: x.execution, RetryAfter: shortRetryAfter}
 	}
 	now := time.Now()
 	req := scheduling.Request{
@@ -55,20 +62,26 @@
 		Now:           now,
 	}
 	reason := NoServer
+	var full []string
 	for _, excluded := range exclusions(x, snap, now) {
-		req.Excluded = excluded
-		server, decision, err := x.take(snap, release, req)
+		req.Excluded = append(excluded, full...)
+		server, slot, decision, err := x.take(snap, release, &req)
 		if err == nil {
-			return server, decision, nil
+			return server, slot, decision, nil
 		}
-		if isLimited(err) {
+		full = req.Excluded[len(excluded):]
+		if isLimited(err) || len(full) > 0 {
 			reason = Overloaded
 		}
 	}
 	if refusal := x.pausedRefusal(snap, now); refusal != nil {
-		return nil, scheduling.Decision{}, refusal
+		return nil, nil, scheduling.Decision{}, refusal
+	}
+	refusal := &Refusal{Reason: reason, Execution: x.execution, RetryAfter: shortRetryAfter}
+	if reason == Overloaded {
+		refusal = x.spread(refusal, 0)
 	}
-	return nil, scheduling.Decision{}, &Refusal{Reason: reason, Execution: x.execution, RetryAfter: shortRetryAfter}
+	return nil, nil, scheduling.Decision{}, refusal
 }
 
 // isLimited reports whether servers were rejected for their limits or for lack of room.
@@ -79,22 +92,25 @@
 	})
 }
 
-// take picks a server and takes a request from its limit, if it named one. Another request
-// may take the last one first; the server is then rejected in the next round.
-func (x *exchange) take(snap *fleet.Snapshot, release string, req scheduling.Request) (*fleet.Server, scheduling.Decision, error) {
-	for {
-		decision, err := x.choose(snap, release, req)
+// take picks a server, occupies a slot there if it is brittle, and takes a request from its limit, if
+// it named one. Another request may take the last one first; the server is then excluded in the next
+// round.
+func (x *exchange) take(snap *fleet.Snapshot, release string, req *scheduling.Request) (*fleet.Server, *brittle.Slot, scheduling.Decision, error) {
+	for range maxAsks {
+		decision, err := x.choose(snap, release, *req)
 		if err != nil {
-			return nil, decision, err
+			return nil, nil, decision, err
 		}
 		server, known := snap.Server(decision.Server.ID)
 		if !known {
-			return nil, decision, errors.Errorf("server %s is not in the snapshot", decision.Server.ID)
+			return nil, nil, decision, errors.Errorf("server %s is not in the snapshot", decision.Server.ID)
 		}
-		if x.d.Limits.Take(server.ID) {
-			return server, decision, nil
+		if slot, ok := x.d.Limits.Take(server.ID, x.deadline); ok {
+			return server, slot, decision, nil
 		}
+		req.Excluded = append(req.Excluded, server.ID)
 	}
+	return nil, nil, scheduling.Decision{}, errNoSlot
 }
 
 // releaseIn returns the release to which the request is restricted; empty for any
--- a/internal/dispatch/secure.go
+++ b/internal/dispatch/secure.go
@@ -100,6 +100,7 @@
 	}
 	x.next = nil
 	if refusal := x.checkAllowed(); refusal != nil {
+		p.slot.End(true)
 		x.d.Budgets.Return(x.service)
 		return nil, refusal
 	}
@@ -159,6 +160,7 @@
 // dropNext gives the secured placement back, if there is one.
 func (x *exchange) dropNext() {
 	if x.next != nil {
+		x.next.slot.End(true)
 		x.next = nil
 		x.d.Budgets.Return(x.service)
 	}
--- a/internal/dispatch/secure_test.go
+++ b/internal/dispatch/secure_test.go
@@ -10,6 +10,7 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"github.com/basilrail/basilrail/internal/brittle"
 	"github.com/basilrail/basilrail/internal/bubble"
 	"github.com/basilrail/basilrail/internal/modeltier"
 	"github.com/basilrail/basilrail/internal/retry"
@@ -205,9 +206,9 @@
 
 func (l *usedUpLimits) MaySend(string) bool { return l.left > 0 }
 
-func (l *usedUpLimits) Take(string) bool {
+func (l *usedUpLimits) Take(string, time.Time) (*brittle.Slot, bool) {
 	l.left--
-	return l.left >= 0
+	return nil, l.left >= 0
 }
 
 // TestAnswerIsNotDiscardedForAModelThatCannotBeAsked guards against answers that are replaced by
--- a/internal/fleet/health.go
+++ b/internal/fleet/health.go
@@ -84,6 +84,13 @@
 	s.health.receivedAt = now
 }
 
+// HasSentSince reports whether bytes of the server arrived after a time.
+func (s *Server) HasSentSince(t time.Time) bool {
+	s.health.mu.Lock()
+	defer s.health.mu.Unlock()
+	return s.health.receivedAt.After(t)
+}
+
 // SilentFor returns how long the server has sent nothing to this instance while a request of
 // it was in flight; zero if none is.
 func (s *Server) SilentFor() time.Duration {
--- a/internal/peers/bus.go
+++ b/internal/peers/bus.go
@@ -95,6 +95,13 @@
 // KindServerFull reports a brittle backend server that turned a request away for lack of room.
 const KindServerFull Kind = 38
 
+// KindSlot tells the arbiter of a brittle backend server which of its slots the sender occupies, and
+// asks for another one. KindSlotClaim reports that the sender is the arbiter of a server.
+const (
+	KindSlot      Kind = 39
+	KindSlotClaim Kind = 40
+)
+
 // KindCommit requests that a peer commit a transaction to the table service.
 const KindCommit Kind = 24
 
@@ -137,7 +144,8 @@
 	// relayed. In a fleet too large to be fully connected, only KindSettingsHint,
 	// KindSuspension, KindSuspect, KindServerState, KindTableChange,
 	// KindUpgradeEvidence, KindCrashingContent, KindServerLeaving, KindRequestLimit,
-	// KindPromptCrash, KindServerBrittle and KindServerFull go beyond the neighbours.
+	// KindPromptCrash, KindServerBrittle, KindServerFull and KindSlotClaim go beyond the
+	// neighbours.
 	Broadcast(kind Kind, body any)
 	// Request sends a message to one peer and decodes the answer into reply, unless
 	// reply is nil.
