dispatch, platform: Send nothing late in a stop that can't be answered

Here a request that its server refused 1.2 s after SIGTERM, with a grace of 2 s, was sent to a second server and answered 2.7 s after it; a process ends before. The dispatcher knew nothing of a stop: only the front refused what was complete too late.

From the end of acceptance on, a first send, a repeat, an escalation or a request that waits goes out only if its deadline is within the grace, or if no other instance can do better (a stream that has begun, a repeatable request that has run). Others are refused as not run.

--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -71,8 +71,10 @@
 		timer := time.AfterFunc(leftCallerTime, cancel)
 		context.AfterFunc(attemptCtx, func() { timer.Stop() })
 	})
+	atEnd := context.AfterFunc(x.d.ended, cancel)
 	return attemptCtx, func() {
 		stop()
+		atEnd()
 		cancel()
 	}
 }
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/basilrail/basilrail/internal/apierror"
@@ -136,13 +137,18 @@
 	rng     *rand.Rand
 	// waiting holds, by service, the requests that wait for the end of a pause.
 	waiting map[string]*fifo.Queue
+	// stop is set while the instance stops, and ended is done at its end.
+	stop  atomic.Pointer[stop]
+	ended context.Context
+	end   context.CancelFunc
 }
 
 // New returns a Dispatcher with the given options.
 func New(o Options) *Dispatcher {
+	ended, end := context.WithCancel(context.Background())
 	return &Dispatcher{
 		Options: o, prefill: prefill.NewEstimator(), rng: rand.New(rand.NewPCG(o.Seed, o.Seed)),
-		waiting: make(map[string]*fifo.Queue),
+		waiting: make(map[string]*fifo.Queue), ended: ended, end: end,
 	}
 }
 
@@ -179,11 +185,16 @@
 	refusal := x.prepare()
 	if refusal == nil {
 		limited, cancel := context.WithDeadline(ctx, x.deadline)
+		atEnd := context.AfterFunc(d.ended, cancel)
 		refusal = x.run(limited)
+		atEnd()
 		cancel()
 	}
-	if refusal != nil && ctx.Err() != nil {
+	switch {
+	case refusal != nil && ctx.Err() != nil:
 		refusal.Reason = CallerGone
+	case refusal != nil && d.ended.Err() != nil:
+		refusal.Reason, refusal.RetryAfter = Stopping, stoppingRetryAfter
 	}
 	x.finish(refusal)
 }
--- a/internal/dispatch/exchange.go
+++ b/internal/dispatch/exchange.go
@@ -172,6 +172,9 @@
 
 // placeWith places the request at a server that one of the lists of exclusions leaves.
 func (x *exchange) placeWith(exclusions exclusionLists) (*placement, *Refusal) {
+	if refusal := x.checkStop(); refusal != nil {
+		return nil, refusal
+	}
 	server, slot, decision, refusal := x.pick(exclusions)
 	if refusal != nil {
 		return nil, refusal
--- a/internal/dispatch/pause.go
+++ b/internal/dispatch/pause.go
@@ -62,6 +62,9 @@
 	ticker := time.NewTicker(pauseCheckInterval)
 	defer ticker.Stop()
 	for {
+		if refusal := x.checkStop(); refusal != nil {
+			return refusal
+		}
 		if refusal := x.pausedRefusal(x.d.Fleet.Snapshot(), time.Now()); refusal != nil && !x.canWait(refusal, turn.Ahead()) {
 			return x.spread(refusal, turn.Ahead())
 		}
--- a/internal/dispatch/secure.go
+++ b/internal/dispatch/secure.go
@@ -99,7 +99,11 @@
 		return x.placeInTurn(ctx)
 	}
 	x.next = nil
-	if refusal := x.checkAllowed(); refusal != nil {
+	refusal := x.checkStop()
+	if refusal == nil {
+		refusal = x.checkAllowed()
+	}
+	if refusal != nil {
 		p.slot.End(true)
 		x.d.Budgets.Return(x.service)
 		return nil, refusal
