--- a/internal/dispatch/brittleplain_test.go
+++ b/internal/dispatch/brittleplain_test.go
@@ -27,6 +27,8 @@
 	// leastFairAsked is the number of requests from which on the share of an instance is more than
 	// chance.
 	leastFairAsked = 20
+	// plainLoadTime is how long the load lasts from when the servers announce that they are brittle.
+	plainLoadTime = 14 * time.Second
 )
 
 // plainAnswer is a complete answer of a simulated server.
@@ -185,8 +187,8 @@
 // plainResult is what happened to the requests and servers of a case.
 type plainResult struct {
 	falls int
-	// asked and began are counts of requests that arrived while the servers fell over, by instance
-	// and part of the time.
+	// asked and began count the requests that arrived while servers could fall over, by instance and
+	// part of the time, total and served those of all.
 	asked, began  map[string]int
 	total, served int
 }
@@ -194,7 +196,6 @@
 // play runs a case: two seconds of light load, contactTime in which the servers announce that they
 // are brittle, and then a load during which they fall over.
 func (c *plainCase) play(seed uint64) plainResult {
-	const loadTime = 14 * time.Second
 	f := newSimFleetOf(simFleetOptions{instances: c.instances, servers: c.servers, slots: c.slots, domains: c.domains, seed: seed})
 	defer f.close()
 	if c.latency > 0 {
@@ -216,7 +217,7 @@
 	f.brittleSince = time.Now()
 	f.mu.Unlock()
 	go c.fault.run(f)
-	outcomes := c.load(f, loadTime, c.perSecond)
+	outcomes := c.load(f, plainLoadTime, c.perSecond)
 	// The runs of the last requests end.
 	time.Sleep(time.Second)
 	result := plainResult{asked: make(map[string]int), began: make(map[string]int)}
@@ -276,17 +277,26 @@
 	i.d.Serve(ctx, &Request{ID: id, Host: "h", Path: "/desk/", Key: "key", Arrived: time.Now(), Body: []byte(id)}, &caller{})
 }
 
+// checkFalls fails the test unless the users' rule holds.
+func (c *plainCase) checkFalls(t *testing.T, r plainResult) {
+	t.Logf("%d falls, %d of %d requests began, %.2f of what is possible", r.falls, r.served, r.total, float64(r.served)/c.possible(r))
+	assert.LessOrEqual(t, r.falls, fallsFree+c.servers/fallsPer)
+	require.Positive(t, r.served)
+}
+
+// possible returns the smaller of what was asked and what the slots can run.
+func (c *plainCase) possible(r plainResult) float64 {
+	return min(float64(r.total), c.capacity()*(plainLoadTime-contactTime).Seconds())
+}
+
 // check fails the test unless the users' rule holds and, without a fault, the servers are used and
 // all instances are served alike.
 func (c *plainCase) check(t *testing.T, r plainResult) {
-	possible := min(float64(r.total), c.capacity()*11)
-	t.Logf("%d falls, %d of %d requests began, %.2f of what is possible", r.falls, r.served, r.total, float64(r.served)/possible)
-	assert.LessOrEqual(t, r.falls, fallsFree+c.servers/fallsPer)
-	require.Positive(t, r.served)
+	c.checkFalls(t, r)
 	if c.fault.name != noFault.name || c.latency > 0 || c.leaving > 0 {
 		return
 	}
-	assert.GreaterOrEqual(t, float64(r.served), beganShare*possible)
+	assert.GreaterOrEqual(t, float64(r.served), beganShare*c.possible(r))
 	mean, worst := float64(r.served)/float64(r.total), 1.0
 	for key, asked := range r.asked {
 		if asked >= leastFairAsked {
