dispatch: Let a request leave a silent server late in a stop

A repeatable request at a silent server could not move to another one once a stopping instance accepted nothing any more, since it had not failed yet.

--- a/internal/dispatch/exchange.go
+++ b/internal/dispatch/exchange.go
@@ -75,6 +75,8 @@
 	hasGivenUp bool
 	// next is the placement that was secured before an answer was given up; nil for none.
 	next *placement
+	// isInFlight is set while an attempt is prepared that follows one whose server is silent.
+	isInFlight bool
 	// execution is the furthest execution status of all attempts so far.
 	execution apierror.ExecutionStatus
 	// isTrial is set while the request passes although its parts are refused.
--- a/internal/dispatch/secure.go
+++ b/internal/dispatch/secure.go
@@ -28,7 +28,9 @@
 		p.wasDenied = true
 		return false
 	}
+	x.isInFlight = true
 	next, refusal := x.placeWith((*exchange).healthyOnly)
+	x.isInFlight = false
 	if refusal != nil {
 		x.d.Budgets.Return(x.service)
 		return false
--- a/internal/dispatch/stop.go
+++ b/internal/dispatch/stop.go
@@ -50,7 +50,8 @@
 	if s == nil || x.streamStarted || time.Now().Before(s.acceptUntil) || !x.deadline.After(s.endsAt) {
 		return nil
 	}
-	if x.execution != apierror.NotRun && x.route.Repeatable() && time.Until(s.endsAt) >= x.route.TargetLatency {
+	mayHaveRun := x.isInFlight || x.execution != apierror.NotRun
+	if mayHaveRun && x.route.Repeatable() && time.Until(s.endsAt) >= x.route.TargetLatency {
 		return nil
 	}
 	return &Refusal{Reason: Stopping, Execution: x.execution, RetryAfter: stoppingRetryAfter}
