--- a/internal/brittle/slots.go
+++ b/internal/brittle/slots.go
@@ -138,7 +138,7 @@
 // not granted is removed.
 func (g *Guard) ask(slot *Slot, h *holdings) bool {
 	if !g.IsListed() {
-		g.settle(slot, h, false)
+		g.conclude(slot, h, false)
 		return false
 	}
 	list, now := g.members(), time.Now()
@@ -146,7 +146,7 @@
 	if list.isIsolatedFrom(arbiter, now) {
 		g.mu.Lock()
 		mayUse := len(h.held) < list.safeShare(slot.server.ID, slot.server.Registration.Slots, list.self)
-		g.settleLocked(slot, h, mayUse)
+		g.concludeLocked(slot, h, mayUse)
 		g.mu.Unlock()
 		return mayUse
 	}
@@ -160,24 +160,26 @@
 	if err != nil {
 		dropOutdated(g.unreachable, now)
 		g.unreachable[arbiter] = time.Now().Add(unreachableFor)
+		h.isRejected = h.isRejected || m.Rejected
 	}
 	// An arbiter that has claimed the server meanwhile does not know of the grant of another one.
 	isValid := err == nil && isGranted && (h.claims == claims || arbiter == g.claims[keyOf(slot.server)].by)
 	if err != nil || isGranted && !isValid {
 		g.reportLocked(slot.server, h)
 	}
-	g.settleLocked(slot, h, isValid)
+	g.concludeLocked(slot, h, isValid)
 	return isValid
 }
 
-// settle ends the wait for a slot, and removes the holdings if there is no other one.
-func (g *Guard) settle(slot *Slot, h *holdings, isGranted bool) {
+// conclude ends the wait for a slot.
+func (g *Guard) conclude(slot *Slot, h *holdings, isGranted bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.settleLocked(slot, h, isGranted)
+	g.concludeLocked(slot, h, isGranted)
 }
 
-func (g *Guard) settleLocked(slot *Slot, h *holdings, isGranted bool) {
+// concludeLocked is conclude for callers that hold the lock.
+func (g *Guard) concludeLocked(slot *Slot, h *holdings, isGranted bool) {
 	delete(h.pending, slot.id)
 	if isGranted {
 		h.held[slot.id] = slot.until
@@ -286,7 +288,6 @@
 			return
 		}
 		h.isReportDue = false
-		wasRejected := h.isRejected
 		m := g.message(keyOf(server), h, 0, time.Time{})
 		g.mu.Unlock()
 		_, err := g.send(g.arbiterOf(server, g.members()), m, reportTimeout)
@@ -296,7 +297,7 @@
 		}
 		failures++
 		g.mu.Lock()
-		h.isReportDue, h.isRejected = true, h.isRejected || wasRejected
+		h.isReportDue, h.isRejected = true, h.isRejected || m.Rejected
 		g.mu.Unlock()
 		time.Sleep(reportInterval)
 	}
