--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 GO ?= go
 TOOLS = $(GO) tool -modfile=tools/go.mod
 
-.PHONY: build test lint fmt race generate check-generated run demo measure capacity soak soak-processes soak-fleet deploy-build
+.PHONY: build test lint fmt race generate check-generated run demo measure capacity soak soak-processes soak-fleet soak-brittle deploy-build
 
 build:
 	$(GO) build -o bin/ ./cmd/...
@@ -65,6 +65,11 @@
 soak-fleet:
 	BASILRAIL_FLEET_SEEDS=$(FLEET_SEEDS) BASILRAIL_FLEET_FIRST=$$(date +%s) $(GO) test -count=1 -run TestFleetShortOfProcessorTimeLosesNoStream/one_build -parallel 4 -timeout 60m ./platform
 
+# soak-brittle simulates fleets before brittle servers with new seeds; a failure prints its seed.
+BRITTLE_SEEDS ?= 50
+soak-brittle:
+	BASILRAIL_BRITTLE_SEEDS=$(BRITTLE_SEEDS) BASILRAIL_BRITTLE_FIRST=$$(date +%s) $(GO) test -count=1 -run RandomFleets -timeout 60m ./internal/dispatch
+
 # deploy-build runs the build line of the deploy file.
 deploy-build:
 	@line=$$(sed -n 's/^build = "\(.*\)"$$/\1/p' deploy/system.toml); echo "$$line"; sh -c "$$line"
