--- a/internal/brittle/arbiter.go
+++ b/internal/brittle/arbiter.go
@@ -71,47 +71,52 @@
 // handle records the slots that an instance occupies at a server and reports whether it gets the one
 // that it asks for.
 func (a *arbiter) handle(from string, m *slotMessage, server *fleet.Server, list *members) bool {
-	now, key := time.Now(), m.key()
+	now := time.Now()
 	isArbiter := list.arbiterOf(server.ID, server.Registration.FailureDomain) == list.self && list.hasQuorum()
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if !isArbiter || now.Before(a.yieldedUntil[key]) {
-		delete(a.ledgers, key)
-		return false
-	}
-	l := a.ledgers[key]
-	if l != nil && now.Sub(l.usedAt) >= ledgerIdleTime {
-		l = nil
-	}
+	l := a.ledger(m, isArbiter, now)
 	if l == nil {
-		if m.Ask == 0 {
-			return false
-		}
-		l = a.open(key, now)
+		return false
 	}
 	if l.claimedAt.Before(list.linkedAt) && list.isFullMesh() {
 		// A peer that was cut off may have used its safe share.
-		a.settle(l, key, now)
-	}
-	l.usedAt = now
-	mine := l.account(from)
-	mine.record(m, now)
-	if m.Rejected {
-		l.rejectedAt, l.occupied = now, l.count(now)
+		a.settle(l, m.key(), now)
 	}
+	mine := l.record(from, m, now)
 	if m.Ask == 0 || !mine.expects(m) {
 		return false
 	}
 	if _, isGranted := mine.slots[m.Ask]; isGranted {
 		return true
 	}
-	if now.Before(l.readyAt) || l.count(now)+l.setAside(server, list) >= l.capacity(server.Registration.Slots, now) {
+	if now.Before(l.readyAt) || l.count(now)+l.setAside(server, list, now) >= l.capacity(server.Registration.Slots, now) {
 		return false
 	}
 	mine.slots[m.Ask] = untilOf(m.TTL, now)
 	return true
 }
 
+// ledger returns the ledger to which a message belongs. It is opened by the first message that asks for
+// a slot; nil if there is none, or if this instance is not the arbiter. The caller holds the lock.
+func (a *arbiter) ledger(m *slotMessage, isArbiter bool, now time.Time) *ledger {
+	key := m.key()
+	if !isArbiter || now.Before(a.yieldedUntil[key]) {
+		delete(a.ledgers, key)
+		return nil
+	}
+	l := a.ledgers[key]
+	isOutdated := l == nil || now.Sub(l.usedAt) >= ledgerIdleTime
+	if isOutdated && m.Ask == 0 {
+		return nil
+	}
+	if isOutdated {
+		l = a.open(key, now)
+	}
+	l.usedAt = now
+	return l
+}
+
 // open opens the ledger of a server. The caller holds the lock.
 func (a *arbiter) open(key serverKey, now time.Time) *ledger {
 	maps.DeleteFunc(a.ledgers, func(_ serverKey, l *ledger) bool { return now.Sub(l.usedAt) >= ledgerIdleTime })
@@ -149,11 +154,16 @@
 	delete(a.ledgers, key)
 }
 
-func (l *ledger) account(instance string) *account {
-	mine := l.accounts[instance]
+// record records a message of an instance and returns its account.
+func (l *ledger) record(from string, m *slotMessage, now time.Time) *account {
+	mine := l.accounts[from]
 	if mine == nil {
 		mine = &account{slots: make(map[slotID]time.Time)}
-		l.accounts[instance] = mine
+		l.accounts[from] = mine
+	}
+	mine.record(m, now)
+	if m.Rejected {
+		l.rejectedAt, l.occupied = now, l.count(now)
 	}
 	return mine
 }
@@ -168,9 +178,8 @@
 }
 
 // setAside returns the number of free slots that peers without a link may use as their safe share.
-func (l *ledger) setAside(server *fleet.Server, list *members) int {
+func (l *ledger) setAside(server *fleet.Server, list *members, now time.Time) int {
 	n := 0
-	now := time.Now()
 	for peer := range list.unlinkedSince {
 		known := 0
 		if mine := l.accounts[peer]; mine != nil {
