dispatch: Keep the list of tried servers apart from denied slots

Found by reading: while a larger model was looked for, a server that was asked for a slot in vain replaced the server of the present attempt in the list of those that were tried, since both lists shared an array. A resumed stream could go to the same server again. TestServersWithoutASlotDoNotReplaceTriedServers failed 5 of 5 before.

--- a/internal/dispatch/pick.go
+++ b/internal/dispatch/pick.go
@@ -64,7 +64,8 @@
 	reason := NoServer
 	var full []string
 	for _, excluded := range exclusions(x, snap, now) {
-		req.Excluded = append(excluded, full...)
+		// The list of servers that were tried belongs to the exchange.
+		req.Excluded = slices.Concat(excluded, full)
 		server, slot, decision, err := x.take(snap, release, &req)
 		if err == nil {
 			return server, slot, decision, nil
