dispatch: Free a slot only after the complete answer

Found by reading: a slot of a brittle server was free as soon as the server had answered with a failure, also where its body was not read: the server may still be at work. It is free once the body or the stream has ended, or if the request was not run.

--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -53,15 +53,15 @@
 	}
 	err = x.endWatch(ctx, p, err)
 	x.recordOutcome(ctx, p, err)
-	p.slot.End(isRunOver(err))
+	p.slot.End(p.isRunOver(err))
 	x.recordDisconnect(ctx, p, err)
 	x.reportFaults(ctx, p, err)
 	return err
 }
 
 // attemptContext returns the context of an attempt. A plain request at a brittle server goes on for
-// a moment after its caller has left: once its connection is closed nothing tells when the server
-// is done and has room again.
+// leftCallerTime after its caller has left: the end of the run frees a slot, and can't be observed once
+// the connection is closed.
 func (x *exchange) attemptContext(ctx context.Context, p *placement) (context.Context, context.CancelFunc) {
 	if !p.slot.IsGranted() || x.route.Kind == routing.Streaming {
 		return context.WithCancel(ctx)
@@ -79,12 +79,10 @@
 	}
 }
 
-// isRunOver reports whether the server does no more work for an attempt.
-func isRunOver(err error) bool {
-	if err == nil || err == errServerFailed {
-		return true
-	}
-	return outcomeOf(err).Execution() == apierror.NotRun
+// isRunOver reports whether the server does no more work for an attempt: it answered completely, or did
+// not run the request.
+func (p *placement) isRunOver(err error) bool {
+	return p.isComplete || err != nil && outcomeOf(err).Execution() == apierror.NotRun
 }
 
 // addFault adds a report on a fault that the server or the links of this instance may have.
@@ -150,7 +148,7 @@
 	if err != nil {
 		return err
 	}
-	p.latency = time.Since(p.started)
+	p.latency, p.isComplete = time.Since(p.started), true
 	complete := &completeAnswer{head: head, body: body}
 	if head.Status >= http.StatusInternalServerError {
 		x.execution = apierror.DidRun
--- a/internal/dispatch/exchange.go
+++ b/internal/dispatch/exchange.go
@@ -122,6 +122,8 @@
 	attempt *Attempt
 	// watched is the attempt at the poison tracker; nil for none.
 	watched *poison.Attempt
+	// isComplete is set once the server has sent its complete answer.
+	isComplete bool
 	// hasDelivered is set once the caller has received an event with an id from the server.
 	hasDelivered bool
 	// isReportedSilent is set once the server was reported as unresponsive, and wasDenied once
--- a/internal/dispatch/position.go
+++ b/internal/dispatch/position.go
@@ -23,6 +23,7 @@
 // one.
 func (x *exchange) nextEvent(p *placement, answer Answer) (Event, error) {
 	event, err := answer.Next()
+	p.isComplete = err == io.EOF
 	switch {
 	case err == nil:
 		return event, x.checkEvent(p, event)
