brittle: Ignore late messages of a former process, log lost messages

Found by reading: a message of an earlier process of an instance that arrived after the first one of its successor replaced the successor's slots at the arbiter. The last case of TestSlotsOfAFormerProcessStayOccupiedForAWhile guards against it. Events 6030 to 6032 report an arbiter that does not answer, slots that could not be reported, and peers that do not send the list of brittle servers, whose errors were dropped. A peer of a release that does not know the request for the list counts as one that did not answer. Comments in the field's terms.

--- a/internal/announced/table.go
+++ b/internal/announced/table.go
@@ -136,12 +136,16 @@
 	return list
 }
 
-// Fetch applies the numbers that a peer knows. An instance that has just started knows none.
+// Fetch applies the numbers that a peer knows. An instance that has just started knows none. It returns
+// an error if the peer did not answer, or if its release does not know the request.
 func (t *Table) Fetch(ctx context.Context, peer string) error {
 	var list []message
 	if err := t.Bus.Request(ctx, peer, t.Kind, message{}, &list); err != nil {
 		return errors.Wrapf(err, "fetch announced numbers from %s", peer)
 	}
+	if list == nil {
+		return errors.Errorf("instance %s does not know the request", peer)
+	}
 	for _, m := range list {
 		t.apply(m, peer)
 	}
--- a/internal/brittle/arbiter.go
+++ b/internal/brittle/arbiter.go
@@ -54,6 +54,8 @@
 // account lists the slots that one instance occupies.
 type account struct {
 	process, sequence uint64
+	// ended is the process before, whose messages are late.
+	ended uint64
 	// slots holds until when each slot is occupied at most.
 	slots map[slotID]time.Time
 	// pending are the asked slots that the instance listed in its last message.
@@ -206,15 +208,18 @@
 // record replaces the slots of the instance by those that its message lists, unless a later one was
 // recorded already.
 func (c *account) record(m *slotMessage, now time.Time) {
+	if m.Process == c.ended {
+		return
+	}
 	if m.Process != c.process {
-		// An earlier process has ended and closed its connections.
+		// The process before has ended, and its connections are closed.
 		for _, until := range c.slots {
 			if ended := now.Add(lingerTime); until.After(ended) {
 				until = ended
 			}
 			c.former = append(c.former, until)
 		}
-		c.process, c.sequence, c.slots = m.Process, 0, make(map[slotID]time.Time)
+		c.process, c.ended, c.sequence, c.slots = m.Process, c.process, 0, make(map[slotID]time.Time)
 	}
 	if m.Sequence <= c.sequence {
 		return
--- a/internal/brittle/arbiter_test.go
+++ b/internal/brittle/arbiter_test.go
@@ -119,6 +119,10 @@
 		time.Sleep(lingerTime)
 		restarted.Sequence++
 		assert.True(t, s.handle("b", restarted, s.server, s.list))
+		late := &slotMessage{Server: "s", Process: 1, Sequence: 9, Held: []heldSlot{{ID: 1, TTL: 60_000}, {ID: 2, TTL: 60_000}}}
+		s.handle("b", late, s.server, s.list)
+		_, granted := s.ask("c", 1)
+		assert.True(t, granted, "a late message of the former process does not count")
 	})
 }
 
--- a/internal/brittle/brittle.go
+++ b/internal/brittle/brittle.go
@@ -4,9 +4,9 @@
 //
 // A server turns a request away if it has no room for it. Therefore each request to a brittle server
 // occupies one of its slots, which is granted by the server's arbiter: an instance in its failure
-// domain, chosen by a hash over the list of the instances. Each instance tells the arbiter all slots
-// that it occupies whenever it asks for one or frees one, so that the arbiter keeps nothing that the
-// others don't know. A new arbiter first asks all of them. Without the arbiter nothing is sent but
+// domain, chosen by a hash over the list of the instances. Each message to the arbiter lists all slots
+// that its sender occupies, so that a new arbiter can restore the state of the former one: it first asks
+// all instances for their slots. Without the arbiter nothing is sent but
 // what a small fleet sets aside for instances that are cut off.
 package brittle
 
@@ -59,7 +59,7 @@
 	servers *announced.Table
 	arbiter *arbiter
 	start   start
-	// process distinguishes successive processes of this instance.
+	// process distinguishes successive processes of this instance; it is not zero.
 	process uint64
 
 	mu sync.Mutex
--- a/internal/brittle/slots.go
+++ b/internal/brittle/slots.go
@@ -9,6 +9,7 @@
 	"github.com/fxamacker/cbor/v2"
 	"github.com/pkg/errors"
 
+	"github.com/basilrail/basilrail/internal/events"
 	"github.com/basilrail/basilrail/internal/fleet"
 	"github.com/basilrail/basilrail/internal/peers"
 )
@@ -19,9 +20,9 @@
 	askTimeout     = 150 * time.Millisecond
 	unreachableFor = 300 * time.Millisecond
 	// lingerTime is how long a server may go on with a run after its connection was closed, and
-	// deadlineTime how long after its deadline.
-	lingerTime   = 2 * time.Second
-	deadlineTime = 250 * time.Millisecond
+	// deadlineMargin how long after its deadline.
+	lingerTime     = 2 * time.Second
+	deadlineMargin = 250 * time.Millisecond
 	// silentFor is how long a server with requests in flight may send nothing until it counts as
 	// silent: its abandoned runs may not end. They occupy their slots until the server sends
 	// something, for silenceTime at most. silenceCheckInterval is how often that is checked.
@@ -54,7 +55,8 @@
 	claims int
 	// isRejected is set if the server turned a request away since the last message.
 	isRejected bool
-	// isReportDue is set if the arbiter must be told of a change, isReporting while that happens.
+	// isReportDue is set if a change was not reported to the arbiter yet, isReporting while a report is
+	// on its way.
 	isReportDue, isReporting bool
 }
 
@@ -96,7 +98,7 @@
 	if !known {
 		return nil, g.Limits.Take(id)
 	}
-	slot = &Slot{guard: g, server: server, until: until.Add(deadlineTime)}
+	slot = &Slot{guard: g, server: server, until: until.Add(deadlineMargin)}
 	key := keyOf(server)
 	g.mu.Lock()
 	g.lastSlot++
@@ -158,8 +160,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if err != nil {
-		dropOutdated(g.unreachable, now)
-		g.unreachable[arbiter] = time.Now().Add(unreachableFor)
+		g.markUnreachable(arbiter, slot.server, err)
 		h.isRejected = h.isRejected || m.Rejected
 	}
 	// An arbiter that has claimed the server meanwhile does not know of the grant of another one.
@@ -171,6 +172,17 @@
 	return isValid
 }
 
+// markUnreachable records that an arbiter did not answer, and logs it unless it was recorded before. The
+// caller holds the lock.
+func (g *Guard) markUnreachable(arbiter string, server *fleet.Server, err error) {
+	now := time.Now()
+	if !now.Before(g.unreachable[arbiter]) {
+		g.Log.Log(events.SlotArbiterUnreachable, events.Fields{Server: server.ID, Peer: arbiter, Err: err})
+	}
+	dropOutdated(g.unreachable, now)
+	g.unreachable[arbiter] = now.Add(unreachableFor)
+}
+
 // conclude ends the wait for a slot.
 func (g *Guard) conclude(slot *Slot, h *holdings, isGranted bool) {
 	g.mu.Lock()
@@ -238,7 +250,7 @@
 		return
 	}
 	s.abandonedAt, s.wasSilent = time.Now(), s.server.SilentFor() >= silentFor
-	time.AfterFunc(min(lingerTime, max(deadlineTime, time.Until(s.until))), s.freeUnlessSilent)
+	time.AfterFunc(min(lingerTime, max(deadlineMargin, time.Until(s.until))), s.freeUnlessSilent)
 }
 
 // freeUnlessSilent frees the slot of an abandoned run, or looks again later if the server may not have
@@ -266,8 +278,8 @@
 	g.dropEmpty(key, h)
 }
 
-// reportLocked tells the arbiter of a server which slots this instance occupies. The caller holds
-// the lock.
+// reportLocked reports the slots that this instance occupies to the arbiter of a server. The caller
+// holds the lock.
 func (g *Guard) reportLocked(server *fleet.Server, h *holdings) {
 	h.isReportDue = true
 	if !h.isReporting {
@@ -276,21 +288,20 @@
 	}
 }
 
-// report sends reports until one tells the present state.
+// report sends reports until one with the present state was confirmed.
 func (g *Guard) report(server *fleet.Server, h *holdings) {
-	failures := 0
-	for {
+	for failures := 0; ; {
 		g.mu.Lock()
-		if !h.isReportDue || failures > maxReports {
-			h.isReportDue, h.isReporting = false, false
-			g.dropEmpty(keyOf(server), h)
+		if !h.isReportDue {
+			g.endReport(server, h)
 			g.mu.Unlock()
 			return
 		}
 		h.isReportDue = false
 		m := g.message(keyOf(server), h, 0, time.Time{})
 		g.mu.Unlock()
-		_, err := g.send(g.arbiterOf(server, g.members()), m, reportTimeout)
+		arbiter := g.arbiterOf(server, g.members())
+		_, err := g.send(arbiter, m, reportTimeout)
 		if err == nil {
 			failures = 0
 			continue
@@ -298,11 +309,23 @@
 		failures++
 		g.mu.Lock()
 		h.isReportDue, h.isRejected = true, h.isRejected || m.Rejected
+		if failures > maxReports {
+			g.Log.Log(events.SlotsNotReported, events.Fields{Server: server.ID, Peer: arbiter, Err: err})
+			g.endReport(server, h)
+			g.mu.Unlock()
+			return
+		}
 		g.mu.Unlock()
 		time.Sleep(reportInterval)
 	}
 }
 
+// endReport records that no report is on its way. The caller holds the lock.
+func (g *Guard) endReport(server *fleet.Server, h *holdings) {
+	h.isReportDue, h.isReporting = false, false
+	g.dropEmpty(keyOf(server), h)
+}
+
 // claim notifies the peers that this instance is the arbiter of a server.
 func (g *Guard) claim(key serverKey) {
 	g.Bus.Broadcast(peers.KindSlotClaim, claimMessage{Server: key.id, Started: key.started})
--- a/internal/brittle/start.go
+++ b/internal/brittle/start.go
@@ -7,12 +7,13 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/basilrail/basilrail/internal/events"
 	"github.com/basilrail/basilrail/internal/peers"
 )
 
 const (
-	// fetchTimeout is the longest time that a request waits until the peers have told a new
-	// process which servers are brittle, and fetchInterval the time between two attempts.
+	// fetchTimeout is the longest time that the first requests of a process wait for the list of
+	// brittle servers, and fetchInterval the time between two attempts to get it.
 	fetchTimeout  = 150 * time.Millisecond
 	fetchInterval = 200 * time.Millisecond
 	// fetchPeers is the number of peers that are asked: some may have just started as well.
@@ -78,9 +79,11 @@
 	var all sync.WaitGroup
 	for _, p := range linked {
 		all.Go(func() {
-			if g.servers.Fetch(ctx, p.ID) == nil {
-				answered.Add(1)
+			if err := g.servers.Fetch(ctx, p.ID); err != nil {
+				g.Log.Log(events.BrittleServersUnknown, events.Fields{Peer: p.ID, Err: err})
+				return
 			}
+			answered.Add(1)
 		})
 	}
 	all.Wait()
--- a/internal/events/servers.go
+++ b/internal/events/servers.go
@@ -131,6 +131,20 @@
 		Message: "a brittle backend server turned a request away, of this instance or of the one in peer; count is the number of requests that this instance has there and load that of all instances as far as it knows",
 		Action:  "With a load below the server's slots, the instances did not know of each other's requests; with a load of as many, runs went on whose callers had left.",
 	})
+	SlotArbiterUnreachable = register(Event{
+		Number: 6030, Name: "slot_arbiter_unreachable", Level: logrus.WarnLevel,
+		Message: "the instance in peer, which grants the slots of the brittle backend server, did not answer; requests go to other servers or are refused",
+		Action:  "Check that instance and the link to it (4102). An instance of an older release does not grant slots.",
+	})
+	SlotsNotReported = register(Event{
+		Number: 6031, Name: "slots_not_reported", Level: logrus.WarnLevel,
+		Message: "the instance in peer did not confirm which slots of the brittle backend server this one occupies; it frees them at the requests' deadlines",
+		Action:  "Check that instance and the link to it.",
+	})
+	BrittleServersUnknown = register(Event{
+		Number: 6032, Name: "brittle_servers_unknown", Level: logrus.InfoLevel,
+		Message: "the instance in peer did not send the list of brittle backend servers to this new process",
+	})
 	ContentDisconnectsServers = register(Event{
 		Number: 6014, Name: "content_breaks_servers", Level: logrus.ErrorLevel,
 		Message: "several servers disconnected, one after another, while running the same request; it is refused temporarily",
--- a/internal/peers/bus.go
+++ b/internal/peers/bus.go
@@ -95,8 +95,8 @@
 // KindServerFull reports a brittle backend server that turned a request away for lack of room.
 const KindServerFull Kind = 38
 
-// KindSlot tells the arbiter of a brittle backend server which of its slots the sender occupies, and
-// asks for another one. KindSlotClaim reports that the sender is the arbiter of a server.
+// KindSlot reports the slots of a brittle backend server that the sender occupies to the server's
+// arbiter, and asks for another one. KindSlotClaim reports that the sender is the arbiter of a server.
 const (
 	KindSlot      Kind = 39
 	KindSlotClaim Kind = 40
