--- a/internal/dispatch/brittleplain_test.go
+++ b/internal/dispatch/brittleplain_test.go
@@ -320,6 +320,19 @@
 				cases = append(cases, plainCase{instances: 68, servers: 4, slots: 6, domains: 4, rejections: rejections, perSecond: perSecond, works: short, fault: noFault})
 			}
 		}
+		for _, c := range []struct {
+			works     []time.Duration
+			perSecond float64
+		}{
+			{works: []time.Duration{5 * time.Millisecond}, perSecond: 2400},
+			{works: []time.Duration{200 * time.Millisecond}, perSecond: 60},
+			{works: []time.Duration{200 * time.Millisecond}, perSecond: 240},
+			{works: []time.Duration{2 * time.Second}, perSecond: 6},
+			{works: []time.Duration{2 * time.Second}, perSecond: 24},
+			{works: []time.Duration{15 * time.Millisecond, 2 * time.Second}, perSecond: 48},
+		} {
+			cases = append(cases, plainCase{instances: 68, servers: 4, slots: 6, domains: 4, rejections: 1, perSecond: c.perSecond, works: c.works, fault: noFault})
+		}
 		for _, fault := range plainFaults {
 			cases = append(cases, plainCase{
 				instances: 68, servers: 4, slots: 6, domains: 4, rejections: 1, perSecond: 1000, works: short, fault: fault, latency: time.Millisecond,
