--- a/internal/brittle/arbiter.go
+++ b/internal/brittle/arbiter.go
@@ -15,10 +15,10 @@
 	// yieldTime is how long an arbiter grants nothing after another one has claimed its server:
 	// their lists of the instances differ.
 	yieldTime = time.Second
-	// ledgerIdleTime is the age from which the ledger of a server for which nobody asks is outdated.
+	// ledgerIdleTime is the time without messages about a server after which its ledger is outdated.
 	ledgerIdleTime = 10 * time.Second
 	// capacityStepTime is the time after which a server that turned a request away gets one
-	// more at a time than before.
+	// more slot than before.
 	capacityStepTime = 250 * time.Millisecond
 	// Bounds of the time to live of a slot.
 	minTTL = 100 * time.Millisecond
@@ -45,7 +45,7 @@
 	readyAt, claimedAt time.Time
 	usedAt             time.Time
 	accounts           map[string]*account
-	// rejectedAt is when the server last turned a request away, and occupied the number of
+	// rejectedAt is when the server last turned a request away, and occupied is the number of
 	// occupied slots at that time.
 	rejectedAt time.Time
 	occupied   int
@@ -54,7 +54,7 @@
 // account lists the slots that one instance occupies.
 type account struct {
 	process, sequence uint64
-	// ended is the process before, whose messages are late.
+	// ended is the instance's process before; its messages come too late.
 	ended uint64
 	// slots holds until when each slot is occupied at most.
 	slots map[slotID]time.Time
@@ -132,7 +132,7 @@
 // settle asks the other instances to report the slots that they occupy. The caller holds the lock.
 func (a *arbiter) settle(l *ledger, key serverKey, now time.Time) {
 	l.claimedAt, l.readyAt = now, now.Add(settleTime)
-	// Runs of an earlier process of this instance are known to nobody.
+	// No instance can report the runs of an earlier process of this one.
 	if ended := a.startedAt.Add(lingerTime); l.readyAt.Before(ended) {
 		l.readyAt = ended
 	}
@@ -193,7 +193,7 @@
 }
 
 // capacity returns how many slots may be occupied at once. A server that turned a request away has
-// fewer than it registered, for a while: runs go on there that nobody knows of.
+// fewer than it registered, for a while: runs go on there that are in no ledger.
 func (l *ledger) capacity(slots int, now time.Time) int {
 	if l.rejectedAt.IsZero() {
 		return slots
--- a/internal/brittle/brittle.go
+++ b/internal/brittle/brittle.go
@@ -6,8 +6,8 @@
 // occupies one of its slots, which is granted by the server's arbiter: an instance in its failure
 // domain, chosen by a hash over the list of the instances. Each message to the arbiter lists all slots
 // that its sender occupies, so that a new arbiter can restore the state of the former one: it first asks
-// all instances for their slots. Without the arbiter nothing is sent but
-// what a small fleet sets aside for instances that are cut off.
+// all instances for their slots. An instance that does not reach the arbiter sends nothing, except in a
+// small fleet, where it has a share of the slots for this case.
 package brittle
 
 import (
@@ -59,7 +59,8 @@
 	servers *announced.Table
 	arbiter *arbiter
 	start   start
-	// process distinguishes successive processes of this instance; it is not zero.
+	// process distinguishes successive processes of this instance. It is not zero, the value of an
+	// account without a process.
 	process uint64
 
 	mu sync.Mutex
--- a/internal/brittle/messages.go
+++ b/internal/brittle/messages.go
@@ -40,8 +40,7 @@
 }
 
 // slotMessage is the body of peers.KindSlot: all slots of a server that the sender occupies, and the one
-// that it asks for. Each message replaces what earlier ones said, so that a lost one does no lasting
-// harm.
+// that it asks for. Each message replaces the earlier ones, so that the next one makes up for a lost one.
 type slotMessage struct {
 	Server  string `cbor:"1,keyasint"`
 	Started int64  `cbor:"2,keyasint"`
@@ -66,7 +65,7 @@
 	Granted bool `cbor:"1,keyasint"`
 }
 
-// ttlOf returns the time until a moment in milliseconds, at least minTTL.
+// ttlOf returns the time until a moment in milliseconds, minTTL at least.
 func ttlOf(until, now time.Time) int64 {
 	return int64(max(minTTL, until.Sub(now)) / time.Millisecond)
 }
--- a/internal/brittle/start.go
+++ b/internal/brittle/start.go
@@ -18,7 +18,7 @@
 	fetchInterval = 200 * time.Millisecond
 	// fetchPeers is the number of peers that are asked: some may have just started as well.
 	fetchPeers = 3
-	// startTime is how long a process counts as new. The peers repeat their notices in less.
+	// startTime is how long a process counts as new. Within it the peers repeat their notices.
 	startTime = 4 * time.Second
 )
 
--- a/internal/dispatch/stop.go
+++ b/internal/dispatch/stop.go
@@ -43,8 +43,9 @@
 }
 
 // checkStop returns a refusal if the instance stops and an attempt that began now might be cut off at its
-// end. A stream that has begun goes on in any case, as does a request that may be repeated if it has
-// run and its answer usually takes less than the time that is left: no other instance can do better.
+// end. Two kinds of requests go on, since a refusal would not let another instance serve them: a stream
+// that has begun, and one that may be repeated and may have run, if its target latency is within the
+// time that is left.
 func (x *exchange) checkStop() *Refusal {
 	s := x.d.stop.Load()
 	if s == nil || x.streamStarted || time.Now().Before(s.acceptUntil) || !x.deadline.After(s.endsAt) {
