review: a request that crashes servers is let through for ever once all ids are known

Seen: with three servers that start again under their ids, a request that crashes each of them is refused for 30 s after the third crash, and then never again. Code at fault: internal/quarantine/disconnects.go, which takes a server's id for a process.

--- /dev/null
+++ b/review/build.sh
@@ -0,0 +1,5 @@
+#!/usr/bin/env bash
+# Builds the stand-in that the scripts of the cases start, into target/.
+set -eu
+cd "$(dirname "$0")/.."
+go build -o target/review-standin ./review/standin
