review: lost answers hide the crashes that a part of a prompt causes

Seen: after answers of the servers were lost for a time, a part of a prompt that crashes each server is not refused any more: all 18 model servers crash, several times each. Code at fault: internal/poison/evidence.go keeps a refuted crash for two minutes and merges later crashes of the same server into it.

--- a/review/standin/caller.go
+++ b/review/standin/caller.go
@@ -14,7 +14,6 @@
 	oncePrefix   = "/etat/"
 	readPrefix   = "/dispo/"
 	streamPrefix = "/alerte/"
-	streamEvents = 6
 	model        = "daka510000"
 	// deadline is how long a caller of a plain service waits.
 	deadline = 4 * time.Second
--- a/review/standin/crashcount.go
+++ b/review/standin/crashcount.go
@@ -49,3 +49,10 @@
 	defer c.mu.Unlock()
 	return c.late
 }
+
+// isLate reports whether a time has passed since the number of crashes was reached.
+func (c *crashCount) isLate(d time.Duration) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return !c.limitAt.IsZero() && time.Since(c.limitAt) > d
+}
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -28,6 +28,7 @@
 	"content":  playContentID,
 	"parts":    playPartID,
 	"restarts": playRestarts,
+	"refuted":  playRefuted,
 }
 
 func main() {
--- a/review/standin/server.go
+++ b/review/standin/server.go
@@ -26,6 +26,11 @@
 	crashes  func(r *http.Request) bool
 	reached  func(s *server, id string, crashes bool)
 	turnAway func(s *server, id string) time.Duration
+	// losesAnswer reports whether the answer of a request that the server runs is lost.
+	losesAnswer func(s *server) bool
+	// eventPause is the time between two events of a stream, and events their number.
+	eventPause time.Duration
+	events     int
 
 	mu      sync.Mutex
 	name    string
@@ -201,6 +206,10 @@
 	if s.reached != nil {
 		s.reached(s, id, crashes)
 	}
+	if s.losesAnswer != nil && s.losesAnswer(s) {
+		s.resetAnswer(w, id)
+		return
+	}
 	h.Set("Basilrail-Server-Seal", fmt.Sprintf("seal.%s.%s", me, id))
 	if !strings.HasPrefix(r.URL.Path, streamPrefix) {
 		if crashes {
@@ -227,11 +236,26 @@
 		return
 	}
 	from, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
-	for i := from + 1; i <= streamEvents; i++ {
+	for i := from + 1; i <= s.events; i++ {
 		fmt.Fprintf(w, "id: %d\ndata: piece %d\n\n", i, i)
 		if control.Flush() != nil {
 			return
 		}
-		time.Sleep(20 * time.Millisecond)
+		select {
+		case <-r.Context().Done():
+			return
+		case <-time.After(s.eventPause):
+		}
+	}
+}
+
+// resetAnswer resets the connection in place of an answer.
+func (s *server) resetAnswer(w http.ResponseWriter, id string) {
+	s.w.record("the answer of server %s to request %s is lost", s.identity(), id)
+	c, _, err := w.(http.Hijacker).Hijack()
+	if err != nil {
+		return
 	}
+	_ = c.(*net.TCPConn).SetLinger(0)
+	_ = c.Close()
 }
