review: an order back to the running release moves all requests to the bad one

Seen: the operator orders v1 back 3 s after the order of a bad v2. From then on v2 gets nearly all requests, and is not judged any more. Code at fault: internal/upgrade/upgrade.go, Start and oldRelease, which take the release on trial for the old one.

--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -29,6 +29,7 @@
 	"parts":    playPartID,
 	"restarts": playRestarts,
 	"refuted":  playRefuted,
+	"rollback": playRollback,
 }
 
 func main() {
--- a/review/standin/server.go
+++ b/review/standin/server.go
@@ -15,6 +15,8 @@
 type server struct {
 	w       *world
 	service string
+	// version is that of the software; empty for v1.
+	version string
 	zone    string
 	slots   int
 	// keepsID is set if the server starts again under the id that it had.
@@ -23,8 +25,10 @@
 	downFor time.Duration
 	// crashes reports whether a request crashes the server. reached is called with each request that
 	// the server begins to run, and turnAway returns the Retry-After of a rejection, zero for none.
-	crashes  func(r *http.Request) bool
-	reached  func(s *server, id string, crashes bool)
+	crashes func(r *http.Request) bool
+	reached func(s *server, id string, crashes bool)
+	// fails reports whether the server answers a request with a failure.
+	fails    func() bool
 	turnAway func(s *server, id string) time.Duration
 	// losesAnswer reports whether the answer of a request that the server runs is lost.
 	losesAnswer func(s *server) bool
@@ -51,6 +55,9 @@
 func (w *world) addServer(s *server) error {
 	s.w, s.conns = w, make(map[net.Conn]struct{})
 	s.name = fmt.Sprintf("i-%s-%d", s.service, len(w.servers))
+	if s.version == "" {
+		s.version = "v1"
+	}
 	w.servers = append(w.servers, s)
 	if err := s.start(); err != nil {
 		return err
@@ -142,7 +149,7 @@
 	s.sequence++
 	s.lastBeat, s.isListed = time.Now(), true
 	s.w.store.Put("servers", s.id, map[string]any{
-		"service": s.service, "address": s.address, "zone": s.zone, "version": "v1", "slots": s.slots, "state": "ready",
+		"service": s.service, "address": s.address, "zone": s.zone, "version": s.version, "slots": s.slots, "state": "ready",
 		"cold_remaining_ms": 0, "born": s.born, "sequence": s.sequence,
 	})
 }
@@ -217,6 +224,10 @@
 			return
 		}
 		time.Sleep(60 * time.Millisecond)
+		if s.fails != nil && s.fails() {
+			w.WriteHeader(http.StatusInternalServerError)
+			return
+		}
 		fmt.Fprintf(w, "%s %s %d", r.Method, r.URL.Path, len(body))
 		return
 	}
