--- a/review/standin/server.go
+++ b/review/standin/server.go
@@ -28,19 +28,19 @@
 	crashes func(r *http.Request) bool
 	reached func(s *server, id string, crashes bool)
 	// fails reports whether the server answers a request with a failure.
-	fails    func() bool
+	fails func() bool
 	// losesAnswer reports whether the answer of a request that the server runs is lost.
 	losesAnswer func(s *server) bool
 	// eventPause is the time between two events of a stream, and events their number.
 	eventPause time.Duration
 	events     int
 
-	mu      sync.Mutex
-	name    string
-	id      string
-	address string
-	born    int64
-	starts  int
+	mu       sync.Mutex
+	name     string
+	id       string
+	address  string
+	born     int64
+	starts   int
 	lastBeat time.Time
 	isListed bool
 	isUp     bool
