--- a/review/standin/main.go
+++ b/review/main.go
@@ -1,4 +1,4 @@
-// Command standin plays one case of the review on the real clock and loopback addresses: it starts
+// Command review plays one case of the review on the real clock and loopback addresses: it starts
 // the instances as processes with the command of the deploy file, and stands in for the platform, the
 // backend servers and the callers.
 package main
@@ -34,7 +34,7 @@
 
 func main() {
 	if len(os.Args) != 4 || scenarios[os.Args[1]] == nil {
-		fmt.Fprintln(os.Stderr, "usage: standin CASE DAEMON RECORD")
+		fmt.Fprintln(os.Stderr, "usage: review-standin CASE DAEMON RECORD")
 		os.Exit(exitFailed)
 	}
 	os.Exit(play(scenarios[os.Args[1]], os.Args[2], os.Args[3]))
