upgrade, dispatch: Judge a release under load before its old servers end

Cause: the canary spends most of the allowed exposure at a load at which the fault does not show (failures came only where two or more requests ran at the server), completion followed the move of all requests by a hundredth of the duration and ended the old servers, and requests that fail at every release (14 in 100 on one route) hid the rise.

Change: the requests move earlier, with half of the exposure left, and the upgrade is completed once the answers since then are sound. Meanwhile plain requests are packed onto few servers, and a request that failed at the release on trial is repeated at the old one, which tells faults of the request from those of the release. A release in doubt stays on trial beyond its duration. A release without servers is not completed.

Evidence: TestReleaseThatFailsUnderLoadIsRevertedWithItsOldServers fails in 24 of 24 cases without the change and passes; so does TestReleaseWithoutServersIsNotCompleted.

--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -288,29 +288,3 @@
 		x.d.Log.Log(events.ServerEjected, events.Fields{Server: p.server.ID, RequestID: x.req.ID, Path: x.service})
 	}
 }
-
-// observe reports the outcome of an attempt to the release's statistics. After a failure
-// the request's further attempts say more about the request than about a release.
-func (x *exchange) observe(p *placement, failed, timedOut bool) {
-	if x.hasFailed {
-		return
-	}
-	x.hasFailed = failed || timedOut
-	o := Observation{
-		Service:     x.service,
-		Release:     p.server.Registration.Release,
-		Route:       x.route.Name,
-		Model:       p.model,
-		Failed:      failed,
-		Latency:     p.latency,
-		InputTokens: x.req.Prompt.InputTokens,
-	}
-	if timedOut && p.latency == 0 {
-		o.Latency, o.GivenUp = time.Since(p.started), true
-	}
-	if timedOut {
-		p.addFault(func() { x.d.Releases.Observe(o) })
-		return
-	}
-	x.d.Releases.Observe(o)
-}
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -126,9 +126,11 @@
 
 type noReleases struct{}
 
-func (noReleases) Choose(string, string) string    { return "" }
-func (noReleases) IsWithdrawn(string, string) bool { return false }
-func (noReleases) Observe(Observation)             {}
+func (noReleases) Choose(string, string) string      { return "" }
+func (noReleases) IsWithdrawn(string, string) bool   { return false }
+func (noReleases) Alternative(string, string) string { return "" }
+func (noReleases) Packs(string, string) bool         { return false }
+func (noReleases) Observe(Observation)               {}
 
 // noLimits has no limits.
 type noLimits struct{}
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -40,6 +40,12 @@
 	Choose(service, session string) string
 	// IsWithdrawn reports whether a release was judged bad and must get no request.
 	IsWithdrawn(service, release string) bool
+	// Alternative returns the release that repeats a request which failed at a release
+	// that is being judged; empty for none.
+	Alternative(service, release string) string
+	// Packs reports whether the requests of a release are to be packed onto few of its
+	// servers, which shows the release under load.
+	Packs(service, release string) bool
 	// Observe records the result of an attempt.
 	Observe(o Observation)
 }
--- a/internal/dispatch/exchange.go
+++ b/internal/dispatch/exchange.go
@@ -83,6 +83,9 @@
 	isTrial bool
 	// hasFailed is set once an attempt failed or timed out at a server.
 	hasFailed bool
+	// unconfirmed is a failure that is not counted against its release before it is known
+	// whether another attempt fails as well; nil for none.
+	unconfirmed *unconfirmedFailure
 	// serverFailure is a failure response of a server. It is delivered unless
 	// another attempt answers.
 	serverFailure *completeAnswer
@@ -135,6 +138,7 @@
 
 // run makes attempts until one answers or no further attempt is allowed.
 func (x *exchange) run(ctx context.Context) *Refusal {
+	defer x.confirmFailure()
 	for {
 		p, refusal := x.nextPlacement(ctx)
 		if refusal != nil {
--- a/internal/dispatch/pick.go
+++ b/internal/dispatch/pick.go
@@ -63,7 +63,7 @@
 	}
 	reason := NoServer
 	var full []string
-	for _, excluded := range exclusions(x, snap, now) {
+	for _, excluded := range x.packed(exclusions(x, snap, now), snap, release) {
 		// The list of servers that were tried belongs to the exchange.
 		req.Excluded = slices.Concat(excluded, full)
 		server, slot, decision, err := x.take(snap, release, &req)
--- a/internal/upgrade/evidence.go
+++ b/internal/upgrade/evidence.go
@@ -17,6 +17,9 @@
 const (
 	variantOld variant = iota
 	variantNew
+	// variantUnderLoad counts again the answers of the new release since all requests moved
+	// to it. Earlier builds ignore it.
+	variantUnderLoad
 )
 
 // evidenceKey identifies the counts of answers on one route by one release.
@@ -131,8 +134,8 @@
 	s.byService[upgrade.Service] = &upgradeEvidence{own: make(routeCounts), peers: make(map[source][]variantCounts)}
 }
 
-// observe counts one answer.
-func (s *evidenceStore) observe(upgrade Upgrade, o dispatch.Observation, counts answerCounts) {
+// observe counts one answer; underLoad is set if all requests run on the new release.
+func (s *evidenceStore) observe(upgrade Upgrade, o dispatch.Observation, counts answerCounts, underLoad bool) {
 	e := s.byService[o.Service]
 	if e == nil || counts == (answerCounts{}) {
 		return
@@ -142,6 +145,10 @@
 		key.Variant = variantNew
 	}
 	e.own[key] = e.own[key].plus(counts)
+	if key.Variant == variantNew && underLoad {
+		key.Variant = variantUnderLoad
+		e.own[key] = e.own[key].plus(counts)
+	}
 }
 
 // badAnswers returns the number of the new release's bad answers at this instance.
--- a/internal/upgrade/exposure_test.go
+++ b/internal/upgrade/exposure_test.go
@@ -390,3 +390,41 @@
 		})
 	}
 }
+
+// TestReleaseThatFailsUnderLoadIsRevertedWithItsOldServers guards against a release that fails under the load of
+// all requests and is completed half a second after these have moved to it, which ends the old servers.
+func TestReleaseThatFailsUnderLoadIsRevertedWithItsOldServers(t *testing.T) {
+	worse := defect{name: "a third fail under load", isBad: func(rng *rand.Rand, route string, _ time.Duration, share float64) bool {
+		return route != "broken" && share > 0.25 && rng.Float64() < 0.31
+	}}
+	for _, length := range []time.Duration{12 * time.Second, 16 * time.Second, 24 * time.Second} {
+		for seed := range uint64(8) {
+			t.Run(fmt.Sprintf("%v, seed %d", length, seed), func(t *testing.T) {
+				bubble.Test(t, func(t *testing.T) {
+					what := plainService
+					what.duration = length
+					s := simulate(t, what, &worse, seed)
+					s.checkShare(t)
+					s.checkStop(t)
+				})
+			})
+		}
+	}
+}
+
+// TestReleaseWithoutServersIsNotCompleted guards against an upgrade that is completed, which ends the
+// old servers, although no server of the new release has registered.
+func TestReleaseWithoutServersIsNotCompleted(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
+		s := &simulation{simService: plainService, fleet: startFleet(t, 3), rng: rand.New(rand.NewPCG(1, 1)), started: time.Now()}
+		next := s.play(4*time.Second, 0)
+		s.began = time.Now()
+		for _, c := range s.fleet.controllers {
+			c.Start(Upgrade{Service: service, To: newRelease, Duration: s.duration, Revision: storefeed.Position{Revision: 7}}, false)
+		}
+		s.play(s.duration+8*time.Second, next)
+		s.fleet.stop()
+		s.underWay.Wait()
+		assert.NotEqual(t, statechart.UpgradeCompleted, s.fleet.records.current().State)
+	})
+}
--- a/internal/upgrade/move.go
+++ b/internal/upgrade/move.go
@@ -1,8 +1,11 @@
 package upgrade
 
+import "cmp"
+
 const (
-	// canaryExposure is the part of the allowed exposure that the canary may use.
-	canaryExposure = 0.8
+	// canaryExposure is the part of the allowed exposure that the canary may use; the rest is
+	// left for the load trial.
+	canaryExposure = 0.4
 	// maxAllowedShare bounds the allowed exposure as a share of the requests, for services
 	// with fewer requests than the slack.
 	maxAllowedShare = 0.3
@@ -10,7 +13,7 @@
 	// be used if all requests move at once: the number of requests until the deadline is
 	// an estimate.
 	projectedExposure = 0.9
-	projectedSlack    = 0.35
+	projectedSlack    = 0.6
 	// rateSteps is the number of steps of an instance over which the current rate of
 	// requests is measured.
 	rateSteps = 12
@@ -28,6 +31,9 @@
 	// and minMoved that for which all requests must have run on the new release by then.
 	completeStart = 0.93
 	minMoved      = 0.01
+	// trialDue is the fraction of the duration from which the load trial should have a
+	// result. It leaves time to record the outcome.
+	trialDue = 0.955
 )
 
 // Exposure bounds the requests to a bad release, from the operator's request for an
@@ -79,7 +85,8 @@
 	}
 	switch leansBad := u.leansBad(counts); {
 	case leansBad && progress >= verdictStart:
-		c.markBad(u, "evidence not good by the deadline")
+		reason, _ := counts.worst(0)
+		c.markBad(u, "evidence not good by the deadline: "+cmp.Or(reason, "suspicion of a sequential test"))
 	case !leansBad && (progress >= forcedStart || c.mayMove(u, counts, progress)):
 		c.move(u, progress)
 	}
--- a/internal/upgrade/step.go
+++ b/internal/upgrade/step.go
@@ -22,6 +22,8 @@
 	// evidenceInterval is the mean time between two messages about good answers in the
 	// whole fleet: 20 per second whatever the number of instances.
 	evidenceInterval = 50 * time.Millisecond
+	// trialEvidenceInterval replaces it during the load trial, which lasts for seconds.
+	trialEvidenceInterval = 10 * time.Millisecond
 	// minAnswers is the number of answers that the new release needs before the
 	// upgrade is completed, until minAnswersUntil.
 	minAnswers = 8
@@ -80,7 +82,11 @@
 	instances := time.Duration(len(c.Bus.Peers()) + 1)
 	sinceSent := time.Since(u.evidenceSentAt)
 	bad := c.evidence.badAnswers(u.upgrade)
-	due = sinceSent >= instances*evidenceInterval || bad != u.sentBad || u.moved != u.sentMoved || u.bad
+	interval := evidenceInterval
+	if u.moved {
+		interval = trialEvidenceInterval
+	}
+	due = sinceSent >= instances*interval || bad != u.sentBad || u.moved != u.sentMoved || u.bad
 	var pins []sessionPin
 	if due || u.hasUnsentPins && u.recordKnown && sinceSent >= instances*minPinInterval {
 		pins = c.pinsToSend(u)
@@ -193,7 +199,7 @@
 		return
 	}
 	counts, progress := c.evidence.byService[service].totals(), c.progress(u)
-	u.verdict.update(counts, u.machine.State() == statechart.UpgradeMoving)
+	u.verdict.update(counts, u.machine.State() == statechart.UpgradeMoving, u.hasPacked)
 	if u.verdict.reason != "" && !u.bad {
 		c.markBad(u, u.verdict.reason)
 	}
@@ -202,6 +208,7 @@
 	}
 	if !u.bad {
 		c.allowMove(u, counts, progress)
+		c.concludeTrial(u, counts, progress)
 	}
 	if !u.bad && u.machine.State() == statechart.UpgradeObserving && progress >= moveStart {
 		c.fire(u, statechart.UpgradeHalfPassed)
@@ -287,7 +294,7 @@
 		return r, time.Since(u.badSince) >= peers.WriteDelay(c.Bus, service)
 	case c.mayComplete(u):
 		r.State = statechart.UpgradeCompleted
-		due := time.Duration(completeStart * float64(u.upgrade.Duration))
+		due := time.Duration(trialDue * float64(u.upgrade.Duration))
 		return r, since-due >= peers.WriteDelay(c.Bus, service)
 	case !u.stored:
 		return r, since >= peers.WriteDelay(c.Bus, service)+u.extraDelay
@@ -301,10 +308,15 @@
 }
 
 // mayComplete reports whether the upgrade may be completed: all requests run on the new
-// release for long enough, and it has minAnswers answers or minAnswersUntil has passed.
+// release for long enough, it has servers, it has minAnswers answers or minAnswersUntil has passed,
+// and its answers under load are sound. The old servers end once it is completed, so a release in
+// doubt stays on trial beyond the duration.
 func (c *Controller) mayComplete(u *upgradeState) bool {
 	progress := c.progress(u)
-	if u.machine.State() != statechart.UpgradeMoving || progress < completeStart || !u.moved || progress < u.movedAt+minMoved {
+	if u.machine.State() != statechart.UpgradeMoving || progress < trialDue || !u.moved || progress < u.movedAt+minMoved {
+		return false
+	}
+	if !c.serves(u.upgrade.Service, u.upgrade.To) || !c.hasPassedTrial(u, progress) {
 		return false
 	}
 	return c.evidence.byService[u.upgrade.Service].newAnswers().Answers >= minAnswers || progress >= minAnswersUntil
--- a/internal/upgrade/upgrade.go
+++ b/internal/upgrade/upgrade.go
@@ -175,6 +175,8 @@
 	// of the duration at which that was.
 	moved   bool
 	movedAt float64
+	// hasPacked is set once requests were packed at this instance, which raises latencies.
+	hasPacked bool
 	// totals are the numbers of answers of both releases in the last steps of this
 	// instance.
 	totals []timedTotal
@@ -403,7 +405,7 @@
 		return
 	}
 	if isRunning {
-		c.evidence.observe(u.upgrade, o, c.baselines.compare(o))
+		c.evidence.observe(u.upgrade, o, c.baselines.compare(o), u.moved)
 	}
 	if !isRunning || o.Release != u.upgrade.To {
 		c.baselines.learn(o)
--- a/internal/upgrade/verdict.go
+++ b/internal/upgrade/verdict.go
@@ -48,11 +48,17 @@
 	// in the canary and while requests move. Then the load moves to the new servers,
 	// which raises the latencies there.
 	canaryMargin, moveMargin float64
+	// isQuantile is set if it counts latencies above a quantile of the old release's, which
+	// any rise of the load exceeds.
+	isQuantile bool
 	// leaning is the badness from which the evidence is not good: higher for latencies,
 	// whose quantiles come from few samples.
 	leaning float64
 }
 
+// failureCriterion is the index of the criterion of failures.
+const failureCriterion = 0
+
 var criteria = [...]criterion{
 	{
 		name: "failures", of: func(c answerCounts) (bad, all uint64) { return c.Failed, c.Answers },
@@ -60,7 +66,7 @@
 	},
 	{
 		name: "slow answers", of: func(c answerCounts) (bad, all uint64) { return c.Slow, c.Timed },
-		usual: 1 - slowQuantile, typical: 0.6, canaryMargin: 0.12, moveMargin: 0.3, leaning: 4.5,
+		usual: 1 - slowQuantile, typical: 0.6, canaryMargin: 0.12, moveMargin: 0.3, leaning: 4.5, isQuantile: true,
 	},
 	{
 		name: "outliers", of: func(c answerCounts) (bad, all uint64) { return c.Outliers, c.Timed },
@@ -68,7 +74,7 @@
 	},
 	{
 		name: "very slow answers", of: func(c answerCounts) (bad, all uint64) { return c.VerySlow, c.Timed },
-		usual: 1 - verySlowQuantile, typical: 0.35, canaryMargin: 0.1, moveMargin: 0.25, leaning: 4.5,
+		usual: 1 - verySlowQuantile, typical: 0.35, canaryMargin: 0.1, moveMargin: 0.25, leaning: 4.5, isQuantile: true,
 	},
 }
 
@@ -151,8 +157,9 @@
 	suspicion float64
 }
 
-// update judges the answers since the last call.
-func (v *verdict) update(counts routeCounts, moving bool) {
+// update judges the answers since the last call. If requests are packed onto few servers
+// (isPacked), the quantiles of latencies are no evidence.
+func (v *verdict) update(counts routeCounts, moving, isPacked bool) {
 	if v.seen == nil {
 		v.seen, v.tests = make(routeCounts), make(map[evidenceKey]*[len(criteria)]sequentialTest)
 	}
@@ -170,6 +177,10 @@
 		v.seen[key] = now
 		for i := range criteria {
 			k := &criteria[i]
+			if isPacked && k.isQuantile {
+				tests[i] = sequentialTest{}
+				continue
+			}
 			sum := tests[i].add(k, answers, k.limit(counts.old(key.Route), moving))
 			v.suspicion = max(v.suspicion, sum)
 			if sum >= stopThreshold && v.reason == "" {
