poison, fleet: A crash belongs to a server process and a moment

Before two servers that start again under their ids it was never refused at all.

Cause: a crash was kept for two minutes by the id of its server. A lost answer that another instance had refuted, and a later crash of the same process or of the next one with that id, were one entry, and refuted entries are no evidence.

Change: entries are kept by process (fleet.Process: id and start, until now private to package fleet) and moment. A proof that a process is alive has a time and refutes what was presumed before, not what follows. On the wire the start is an additional field; reports of earlier builds, which lack it, match any process with the id.

--- a/internal/dispatch/disconnects.go
+++ b/internal/dispatch/disconnects.go
@@ -40,7 +40,7 @@
 // watch lets the poison tracker follow an attempt; cancel ends it.
 func (x *exchange) watch(p *placement, cancel context.CancelFunc) {
 	if x.route.CarriesPrompt {
-		p.watched = x.d.Poison.Begin(p.server.ID, x.req.Prompt.sharedParts(), cancel)
+		p.watched = x.d.Poison.Begin(p.server.Registration.Process(), x.req.Prompt.sharedParts(), cancel)
 	}
 }
 
--- a/internal/fleet/departures.go
+++ b/internal/fleet/departures.go
@@ -16,12 +16,6 @@
 	maxDepartures = 4096
 )
 
-// process identifies a run of a server.
-type process struct {
-	id      string
-	started int64
-}
-
 // departure is what is known about the end of a server process.
 type departure struct {
 	// draining is set if the server registered as draining, in eraDraining or earlier.
@@ -37,31 +31,31 @@
 // departures remembers server processes that are leaving or gone, so that an outdated
 // registration of them does not bring them back. It is not safe for concurrent use.
 type departures struct {
-	byProcess *lru.Cache[process, departure]
+	byProcess *lru.Cache[Process, departure]
 }
 
 func newDepartures() *departures {
 	// The only error is a size below one.
-	cache, _ := lru.New[process, departure](maxDepartures)
+	cache, _ := lru.New[Process, departure](maxDepartures)
 	return &departures{byProcess: cache}
 }
 
 // add records that a server deregistered in an era.
 func (d *departures) add(r Registration, era uint64) {
-	entry, _ := d.byProcess.Get(r.process())
+	entry, _ := d.byProcess.Get(r.Process())
 	entry.gone, entry.eraGone = true, era
-	d.byProcess.Add(r.process(), entry)
+	d.byProcess.Add(r.Process(), entry)
 }
 
 // hasDeparted reports whether a registration is that of a server that deregistered in an
 // earlier era.
 func (d *departures) hasDeparted(r Registration) bool {
-	entry, _ := d.byProcess.Get(r.process())
+	entry, _ := d.byProcess.Get(r.Process())
 	return entry.gone && entry.eraGone < r.Era
 }
 
 // markLeaving records an announcement and reports whether it is new.
-func (d *departures) markLeaving(p process) bool {
+func (d *departures) markLeaving(p Process) bool {
 	entry, _ := d.byProcess.Get(p)
 	if entry.announced {
 		return false
@@ -75,10 +69,10 @@
 // announcement, or because it was draining in an earlier era. It records registrations as
 // draining.
 func (d *departures) isDraining(r Registration) bool {
-	entry, _ := d.byProcess.Get(r.process())
+	entry, _ := d.byProcess.Get(r.Process())
 	if r.Draining && !entry.draining {
 		entry.draining, entry.eraDraining = true, r.Era
-		d.byProcess.Add(r.process(), entry)
+		d.byProcess.Add(r.Process(), entry)
 	}
 	return r.Draining || entry.announced || entry.draining && entry.eraDraining < r.Era
 }
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -39,8 +39,22 @@
 	Era uint64
 }
 
-// process returns the server process that the registration describes.
-func (r *Registration) process() process { return process{id: r.ID, started: r.Started} }
+// Process identifies a server process. A server that restarts under the same id is
+// another process.
+type Process struct {
+	ID string
+	// Started is as in Registration.
+	Started int64
+}
+
+// IsSame reports whether two identities may be those of one process: the start of either may be
+// unknown.
+func (p Process) IsSame(o Process) bool {
+	return p.ID == o.ID && (p.Started == o.Started || p.Started == 0 || o.Started == 0)
+}
+
+// Process returns the server process that the registration describes.
+func (r *Registration) Process() Process { return Process{ID: r.ID, Started: r.Started} }
 
 // Server is a backend server with one id and start time.
 type Server struct {
@@ -329,7 +343,7 @@
 	defer s.mu.Unlock()
 	server := s.servers[id]
 	isCurrent := server != nil && server.Registration.Started == started
-	if !s.departures.markLeaving(process{id: id, started: started}) {
+	if !s.departures.markLeaving(Process{ID: id, Started: started}) {
 		return false
 	}
 	if isCurrent && !server.Registration.Draining {
--- a/internal/poison/bench_test.go
+++ b/internal/poison/bench_test.go
@@ -7,6 +7,8 @@
 	"testing"
 	"time"
 
+	"github.com/basilrail/basilrail/internal/fleet"
+
 	"github.com/fxamacker/cbor/v2"
 	"github.com/stretchr/testify/require"
 
@@ -23,7 +25,7 @@
 	b.ReportAllocs()
 	for b.Loop() {
 		t.Refused(parts)
-		a := t.Begin("s1", parts, cancel)
+		a := t.Begin(fleet.Process{ID: "s1"}, parts, cancel)
 		for range 20 {
 			a.Received()
 		}
@@ -39,7 +41,7 @@
 		for range maxRequestsPerCrash {
 			requests = append(requests, newPartSet([]Part{Part(rng.IntN(20)), Part(100 + rng.IntN(2000)), Part(rng.Uint64())}))
 		}
-		e.addCrash(fmt.Sprint("s", i), time.Now().Add(time.Duration(i)*separateCrashes), requests)
+		e.addCrash(fleet.Process{ID: fmt.Sprint("s", i)}, time.Now().Add(time.Duration(i)*separateCrashes), requests)
 	}
 	return e
 }
@@ -61,7 +63,7 @@
 	for range maxRequestsPerCrash {
 		i.requests = append(i.requests, newPartSet([]Part{1 << 40, 2 << 40, 3 << 40}))
 	}
-	body, err := cbor.Marshal(message{Crashes: []crashReport{newCrashReport("i-7f3a91c2aa", i)}})
+	body, err := cbor.Marshal(message{Crashes: []crashReport{newCrashReport(fleet.Process{ID: "i-7f3a91c2aa", Started: 1_790_000_000_000}, i)}})
 	require.NoError(t, err)
 	t.Logf("%d bytes", len(body))
 	require.LessOrEqual(t, len(body), maxBytes)
--- a/internal/poison/evidence.go
+++ b/internal/poison/evidence.go
@@ -8,6 +8,8 @@
 	"time"
 
 	lru "github.com/hashicorp/golang-lru/v2"
+
+	"github.com/basilrail/basilrail/internal/fleet"
 )
 
 const (
@@ -27,6 +29,8 @@
 	// immunity is how long after the begin of an answer that proved a part sound no crash
 	// is evidence against it. It covers the delay until peers know of such an answer.
 	immunity = 3 * time.Second
+	// sameCrash is the longest time between the moments at which instances notice one crash.
+	sameCrash = time.Second
 	// evidenceLifetime is how long a crash is evidence.
 	evidenceLifetime = 2 * time.Minute
 	// maxCrashes, maxRequestsPerCrash and maxParts bound the evidence, to about 2 MB at
@@ -64,20 +68,23 @@
 	return slices.DeleteFunc(slices.Clone(s), drop)
 }
 
-// crash is the presumed end of a server's process.
+// crash is the presumed end of a server process.
 type crash struct {
-	at time.Time
+	process fleet.Process
+	at      time.Time
 	// requests are the parts of the requests that ran at its end and whose answers had begun
 	// less than accusedFor before, or not at all.
 	requests []partSet
-	// isRefuted is set if the server sent something later.
+	// isRefuted is set if the process sent something later.
 	isRefuted bool
 }
 
 // evidence is what all instances know of crashes and of parts that servers answered. Merging
 // reports into it gives the same result in any order.
 type evidence struct {
-	crashes map[string]*crash
+	crashes []*crash
+	// alive holds when processes with a presumed crash last sent something that is known.
+	alive map[fleet.Process]time.Time
 	// sound holds, by part, when the last answer began that proved it sound.
 	sound *lru.Cache[Part, time.Time]
 }
@@ -85,15 +92,19 @@
 func newEvidence() *evidence {
 	// lru.New fails only for a size below one.
 	sound, _ := lru.New[Part, time.Time](maxSoundParts)
-	return &evidence{crashes: make(map[string]*crash), sound: sound}
+	return &evidence{alive: make(map[fleet.Process]time.Time), sound: sound}
 }
 
-// addCrash merges a report on the crash of a server.
-func (e *evidence) addCrash(server string, at time.Time, requests []partSet) {
-	c := e.crashes[server]
+// addCrash merges a report on the crash of a process. It is ignored if the process is known to have
+// sent something later.
+func (e *evidence) addCrash(process fleet.Process, at time.Time, requests []partSet) {
+	if e.wasAlive(process, at) {
+		return
+	}
+	c := e.crashOf(process, at)
 	if c == nil {
-		c = &crash{at: at}
-		e.crashes[server] = c
+		c = &crash{process: process, at: at}
+		e.crashes = append(e.crashes, c)
 		e.dropOldest()
 	}
 	if at.Before(c.at) {
@@ -112,7 +123,7 @@
 		}
 	}
 	for n := range newPartCrashes {
-		e.addCrash(fmt.Sprintf("record %s, crash %d", parts, n), from.Add(time.Duration(n)*separateCrashes), []partSet{parts})
+		e.addCrash(fleet.Process{ID: fmt.Sprintf("record %s, crash %d", parts, n)}, from.Add(time.Duration(n)*separateCrashes), []partSet{parts})
 	}
 }
 
@@ -120,18 +131,43 @@
 	if len(e.crashes) <= maxCrashes {
 		return
 	}
-	oldest := ""
-	for server, c := range e.crashes {
-		if oldest == "" || c.at.Before(e.crashes[oldest].at) {
-			oldest = server
+	oldest := slices.MinFunc(e.crashes, func(a, b *crash) int { return a.at.Compare(b.at) })
+	e.crashes = slices.DeleteFunc(e.crashes, func(c *crash) bool { return c == oldest })
+}
+
+// crashOf returns the crash of a process that a report on one at a time is about; nil for none. What
+// was refuted says nothing about a later report: a lost answer may precede the crash.
+func (e *evidence) crashOf(process fleet.Process, at time.Time) *crash {
+	for _, c := range e.crashes {
+		if !c.isRefuted && c.process.IsSame(process) && at.Sub(c.at).Abs() <= sameCrash {
+			return c
+		}
+	}
+	return nil
+}
+
+// wasAlive reports whether a process is known to have sent something after a presumed crash.
+func (e *evidence) wasAlive(process fleet.Process, crashedAt time.Time) bool {
+	last, ok := e.alive[process]
+	return ok && last.Sub(crashedAt) >= aliveMargin/2
+}
+
+// addAlive records that a process sent something, which refutes its earlier crashes.
+func (e *evidence) addAlive(process fleet.Process, at time.Time) {
+	if at.After(e.alive[process]) {
+		e.alive[process] = at
+	}
+	for _, c := range e.crashes {
+		if c.process == process && e.wasAlive(process, c.at) {
+			c.isRefuted = true
 		}
 	}
-	delete(e.crashes, oldest)
 }
 
 // expire drops crashes that are no evidence any more.
 func (e *evidence) expire(now time.Time) {
-	maps.DeleteFunc(e.crashes, func(_ string, c *crash) bool { return now.Sub(c.at) > evidenceLifetime })
+	e.crashes = slices.DeleteFunc(e.crashes, func(c *crash) bool { return now.Sub(c.at) > evidenceLifetime })
+	maps.DeleteFunc(e.alive, func(_ fleet.Process, at time.Time) bool { return now.Sub(at) > evidenceLifetime })
 }
 
 // addSound records that an answer which proved a part sound began at a time.
--- a/internal/poison/evidence_test.go
+++ b/internal/poison/evidence_test.go
@@ -10,6 +10,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/basilrail/basilrail/internal/bubble"
+	"github.com/basilrail/basilrail/internal/fleet"
 	"github.com/basilrail/basilrail/internal/peers"
 	"github.com/basilrail/basilrail/internal/peers/membus"
 )
@@ -142,7 +143,7 @@
 				for _, r := range crash.requests {
 					requests = append(requests, newPartSet(r))
 				}
-				e.addCrash(fmt.Sprint("s", i), at(crash.at), requests)
+				e.addCrash(fleet.Process{ID: fmt.Sprint("s", i)}, at(crash.at), requests)
 			}
 			var found []partSet
 			for _, f := range e.findings() {
@@ -163,7 +164,7 @@
 	}
 	for i := range 1000 {
 		for range 10 {
-			e.addCrash(fmt.Sprint("s", i), time.Now(), []partSet{newPartSet(long), {1}, {2}, {3}, {4}, {5}, {6}, {7}, {8}})
+			e.addCrash(fleet.Process{ID: fmt.Sprint("s", i)}, time.Now(), []partSet{newPartSet(long), {1}, {2}, {3}, {4}, {5}, {6}, {7}, {8}})
 		}
 		e.addSound(Part(i)<<20, time.Now())
 	}
@@ -209,7 +210,7 @@
 		tracker := newTracker(membus.New(), "a")
 		go tracker.Run(t.Context())
 		for n := range newPartCrashes {
-			attempt := tracker.Begin(fmt.Sprint("s", n), []Part{first, subject}, func() {})
+			attempt := tracker.Begin(fleet.Process{ID: fmt.Sprint("s", n)}, []Part{first, subject}, func() {})
 			time.Sleep(200 * time.Millisecond)
 			attempt.Received()
 			time.Sleep(60 * time.Millisecond)
@@ -227,9 +228,9 @@
 // crashServer lets a request crash a server at an instance, beside another one that goes on
 // if the connection alone was lost.
 func crashServer(a *Tracker, server string, parts []Part, serverGoesOn bool) {
-	other := a.Begin(server, []Part{first, otherSubject + Part(server[len(server)-1])}, func() {})
+	other := a.Begin(fleet.Process{ID: server}, []Part{first, otherSubject + Part(server[len(server)-1])}, func() {})
 	other.Received()
-	attempt := a.Begin(server, parts, func() {})
+	attempt := a.Begin(fleet.Process{ID: server}, parts, func() {})
 	time.Sleep(200 * time.Millisecond)
 	attempt.Received()
 	time.Sleep(60 * time.Millisecond)
@@ -248,6 +249,22 @@
 	}
 }
 
+// loseAnswer lets a request lose its connection at an instance whose peer has another request at the
+// server, which goes on.
+func loseAnswer(a, peer *Tracker, process fleet.Process, parts []Part) {
+	other := peer.Begin(process, []Part{first, otherSubject}, func() {})
+	other.Received()
+	attempt := a.Begin(process, parts, func() {})
+	time.Sleep(100 * time.Millisecond)
+	attempt.Received()
+	attempt.Disconnected(time.Now())
+	for range 10 {
+		time.Sleep(50 * time.Millisecond)
+		other.Received()
+	}
+	other.Ended()
+}
+
 // TestLostConnectionsAreNoCrashes guards against parts that are refused because connections
 // were reset or answers lost while the servers went on, seen here or by another instance.
 func TestLostConnectionsAreNoCrashes(t *testing.T) {
@@ -265,18 +282,7 @@
 						crashServer(a, server, parts, true)
 						continue
 					}
-					// Only the peer has another request at the server.
-					other := b.Begin(server, []Part{first, otherSubject}, func() {})
-					other.Received()
-					attempt := a.Begin(server, parts, func() {})
-					time.Sleep(100 * time.Millisecond)
-					attempt.Received()
-					attempt.Disconnected(time.Now())
-					for range 10 {
-						time.Sleep(50 * time.Millisecond)
-						other.Received()
-					}
-					other.Ended()
+					loseAnswer(a, b, fleet.Process{ID: server}, parts)
 				}
 				for _, tracker := range []*Tracker{a, b} {
 					_, refused, _ := tracker.Refused(parts)
@@ -296,7 +302,7 @@
 		go a.Run(t.Context())
 		go b.Run(t.Context())
 		parts := []Part{first, subject, guilty}
-		late := b.Begin("late", parts, func() {})
+		late := b.Begin(fleet.Process{ID: "late"}, parts, func() {})
 		for i := range 3 {
 			crashServer(a, fmt.Sprint("s", i), parts, false)
 		}
@@ -322,7 +328,7 @@
 		a := newTracker(membus.New(), "i0")
 		go a.Run(t.Context())
 		parts := []Part{first, subject, guilty}
-		longer := a.Begin("other", parts, func() { t.Error("cancelled") })
+		longer := a.Begin(fleet.Process{ID: "other"}, parts, func() { t.Error("cancelled") })
 		longer.Received()
 		time.Sleep(2 * soundAfter)
 		longer.Received()
--- a/internal/poison/messages.go
+++ b/internal/poison/messages.go
@@ -13,6 +13,7 @@
 	"github.com/fxamacker/cbor/v2"
 	"github.com/pkg/errors"
 
+	"github.com/basilrail/basilrail/internal/fleet"
 	"github.com/basilrail/basilrail/internal/peers"
 )
 
@@ -48,10 +49,12 @@
 // message is the body of peers.KindPromptCrash.
 type message struct {
 	Crashes []crashReport `cbor:"1,keyasint,omitempty"`
-	// Alive are servers that sent something after their presumed crash.
-	Alive    []string        `cbor:"2,keyasint,omitempty"`
+	// AliveIDs are the ids of the servers in Alive, for earlier builds.
+	AliveIDs []string        `cbor:"2,keyasint,omitempty"`
 	Sound    []soundReport   `cbor:"3,keyasint,omitempty"`
 	Verdicts []verdictReport `cbor:"4,keyasint,omitempty"`
+	// Alive are processes that sent something after their presumed crash.
+	Alive []aliveReport `cbor:"5,keyasint,omitempty"`
 }
 
 // crashReport lists the parts of one instance's requests that ran when a server ended.
@@ -61,6 +64,15 @@
 	Age int64 `cbor:"2,keyasint"`
 	// Requests holds the parts of each request, 8 bytes each, the most significant first.
 	Requests [][]byte `cbor:"3,keyasint"`
+	// Started is when the process started, as in fleet.Process; zero from earlier builds.
+	Started int64 `cbor:"4,keyasint,omitempty"`
+}
+
+// aliveReport says that a process sent something Age milliseconds ago.
+type aliveReport struct {
+	Server  string `cbor:"1,keyasint"`
+	Started int64  `cbor:"2,keyasint,omitempty"`
+	Age     int64  `cbor:"3,keyasint"`
 }
 
 // soundReport says that an answer which began Age milliseconds ago proved a part sound.
@@ -76,8 +88,8 @@
 	Age   int64  `cbor:"2,keyasint"`
 }
 
-func newCrashReport(server string, i *interruption) crashReport {
-	r := crashReport{Server: server, Age: age(i.at)}
+func newCrashReport(process fleet.Process, i *interruption) crashReport {
+	r := crashReport{Server: process.ID, Started: process.Started, Age: age(i.at)}
 	for _, request := range i.requests {
 		r.Requests = append(r.Requests, request.encode())
 	}
@@ -126,7 +138,7 @@
 }
 
 func (t *Tracker) broadcast(m message) {
-	if len(m.Crashes)+len(m.Alive)+len(m.Sound)+len(m.Verdicts) > 0 {
+	if len(m.Crashes)+len(m.Alive)+len(m.AliveIDs)+len(m.Sound)+len(m.Verdicts) > 0 {
 		t.Bus.Broadcast(peers.KindPromptCrash, m)
 	}
 }
@@ -137,7 +149,7 @@
 	if err := cbor.Unmarshal(msg.Body, &m); err != nil {
 		return nil, errors.Wrap(err, "decode crashes of prompts")
 	}
-	if longest := max(len(m.Crashes), len(m.Alive), len(m.Sound), len(m.Verdicts)); longest > maxPerMessage {
+	if longest := max(len(m.Crashes), len(m.Alive), len(m.AliveIDs), len(m.Sound), len(m.Verdicts)); longest > maxPerMessage {
 		return nil, errors.Errorf("%d entries in one message", longest)
 	}
 	t.mu.Lock()
@@ -147,10 +159,11 @@
 			return nil, err
 		}
 	}
-	for _, server := range m.Alive {
-		if c := t.evidence.crashes[server]; c != nil {
-			c.isRefuted = true
-		}
+	for _, a := range m.Alive {
+		t.evidence.addAlive(fleet.Process{ID: a.Server, Started: a.Started}, since(a.Age))
+	}
+	if len(m.Alive) == 0 {
+		t.mergeAliveIDs(m.AliveIDs)
 	}
 	for _, s := range m.Sound {
 		began := since(s.Age)
@@ -166,6 +179,16 @@
 	return nil, nil
 }
 
+// mergeAliveIDs merges the servers that a peer of an earlier build knows to be alive: it can't tell
+// the processes of a server apart. The caller holds the lock.
+func (t *Tracker) mergeAliveIDs(ids []string) {
+	for _, c := range t.evidence.crashes {
+		if slices.Contains(ids, c.process.ID) && time.Since(c.at) >= aliveMargin {
+			c.isRefuted = true
+		}
+	}
+}
+
 // mergeCrash merges a peer's report on a crash. The caller holds the lock.
 func (t *Tracker) mergeCrash(r crashReport) error {
 	if len(r.Requests) > maxRequestsPerCrash {
@@ -179,7 +202,7 @@
 		}
 		requests = append(requests, parts)
 	}
-	t.evidence.addCrash(r.Server, since(r.Age), requests)
+	t.evidence.addCrash(fleet.Process{ID: r.Server, Started: r.Started}, since(r.Age), requests)
 	return nil
 }
 
@@ -272,15 +295,17 @@
 func (t *Tracker) recent(now time.Time) (m message, isActive bool) {
 	newest := time.Duration(math.MaxInt64)
 	wanted := make(map[Part]struct{})
-	for server, c := range t.evidence.crashes {
-		age := now.Sub(c.at)
-		if c.isRefuted || age > activeTime {
+	for _, c := range t.evidence.crashes {
+		sinceCrash := now.Sub(c.at)
+		if c.isRefuted || sinceCrash > activeTime {
 			continue
 		}
-		isActive, newest = true, min(newest, age)
-		if len(m.Alive) < maxPerMessage && t.isAlive(server, c.at) {
-			c.isRefuted, t.isDirty = true, true
-			m.Alive = append(m.Alive, server)
+		isActive, newest = true, min(newest, sinceCrash)
+		if at, isAlive := t.aliveAt(c); isAlive && len(m.Alive) < maxPerMessage {
+			t.isDirty = true
+			t.evidence.addAlive(c.process, at)
+			m.Alive = append(m.Alive, aliveReport{Server: c.process.ID, Started: c.process.Started, Age: age(at)})
+			m.AliveIDs = append(m.AliveIDs, c.process.ID)
 			continue
 		}
 		t.addAcquitted(wanted, c)
@@ -326,15 +351,15 @@
 	return list
 }
 
-// isAlive reports whether a request of this instance received something from a server after
-// its presumed crash. The caller holds the lock.
-func (t *Tracker) isAlive(server string, crashedAt time.Time) bool {
-	for a := range t.inFlight[server] {
-		if a.sentAt.Before(crashedAt) && a.receivedSince(crashedAt.Add(aliveMargin)) {
-			return true
+// aliveAt returns when a request of this instance last received something from a process after its
+// presumed crash; ok is false if none did. The caller holds the lock.
+func (t *Tracker) aliveAt(c *crash) (at time.Time, ok bool) {
+	for a := range t.inFlight[c.process] {
+		if a.sentAt.Before(c.at) && a.receivedSince(c.at.Add(aliveMargin)) && a.lastReceived().After(at) {
+			at, ok = a.lastReceived(), true
 		}
 	}
-	return false
+	return at, ok
 }
 
 // isChosen reports whether this instance is one of the expected number of instances that
--- a/internal/poison/poison.go
+++ b/internal/poison/poison.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"github.com/basilrail/basilrail/internal/events"
+	"github.com/basilrail/basilrail/internal/fleet"
 	"github.com/basilrail/basilrail/internal/peers"
 )
 
@@ -55,9 +56,9 @@
 
 	mu       sync.Mutex
 	rng      *rand.Rand
-	inFlight map[string]map[*Attempt]struct{}
-	// interrupted holds, by server, the attempts whose connections just ended.
-	interrupted map[string]*interruption
+	inFlight map[fleet.Process]map[*Attempt]struct{}
+	// interrupted holds, by process, the attempts whose connections just ended.
+	interrupted map[fleet.Process]*interruption
 	evidence    *evidence
 	// shared holds, by part, the latest proof of soundness that all instances know of.
 	shared   map[Part]time.Time
@@ -100,7 +101,7 @@
 func New(o Options) *Tracker {
 	t := &Tracker{
 		Options: o, wake: make(chan struct{}, 1), rng: rand.New(rand.NewPCG(o.Seed, o.Seed)),
-		inFlight: make(map[string]map[*Attempt]struct{}), interrupted: make(map[string]*interruption),
+		inFlight: make(map[fleet.Process]map[*Attempt]struct{}), interrupted: make(map[fleet.Process]*interruption),
 		evidence: newEvidence(), shared: make(map[Part]time.Time), lifted: make(map[string]time.Time),
 	}
 	o.Bus.Handle(peers.KindPromptCrash, t.handle)
@@ -111,7 +112,7 @@
 // tracked.
 type Attempt struct {
 	tracker *Tracker
-	server  string
+	process fleet.Process
 	parts   partSet
 	sentAt  time.Time
 	// headAt is when the head of the answer arrived; zero before.
@@ -149,19 +150,19 @@
 	return 0, false, isTrial
 }
 
-// Begin records that a request with the parts is sent to a server. The tracker cancels it
+// Begin records that a request with the parts is sent to a server process. The tracker cancels it
 // if its parts are found to crash servers.
-func (t *Tracker) Begin(server string, parts []Part, cancel context.CancelFunc) *Attempt {
+func (t *Tracker) Begin(process fleet.Process, parts []Part, cancel context.CancelFunc) *Attempt {
 	if t == nil || len(parts) == 0 {
 		return nil
 	}
-	a := &Attempt{tracker: t, server: server, parts: newPartSet(parts), sentAt: time.Now(), cancel: cancel}
+	a := &Attempt{tracker: t, process: process, parts: newPartSet(parts), sentAt: time.Now(), cancel: cancel}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.inFlight[server] == nil {
-		t.inFlight[server] = make(map[*Attempt]struct{})
+	if t.inFlight[process] == nil {
+		t.inFlight[process] = make(map[*Attempt]struct{})
 	}
-	t.inFlight[server][a] = struct{}{}
+	t.inFlight[process][a] = struct{}{}
 	return a
 }
 
@@ -219,9 +220,9 @@
 
 // remove removes an attempt in flight. The caller holds the lock.
 func (t *Tracker) remove(a *Attempt) {
-	delete(t.inFlight[a.server], a)
-	if len(t.inFlight[a.server]) == 0 {
-		delete(t.inFlight, a.server)
+	delete(t.inFlight[a.process], a)
+	if len(t.inFlight[a.process]) == 0 {
+		delete(t.inFlight, a.process)
 	}
 }
 
@@ -238,11 +239,11 @@
 	if a.isSound.Load() || (!a.headAt.IsZero() && at.Sub(a.headAt) >= accusedFor) {
 		return
 	}
-	i := t.interrupted[a.server]
+	i := t.interrupted[a.process]
 	if i == nil {
 		i = &interruption{at: at}
-		t.interrupted[a.server] = i
-		time.AfterFunc(crashGrace-time.Since(at), func() { t.checkCrash(a.server, i) })
+		t.interrupted[a.process] = i
+		time.AfterFunc(crashGrace-time.Since(at), func() { t.checkCrash(a.process, i) })
 	}
 	if len(i.requests) < maxRequestsPerCrash {
 		i.requests = append(i.requests, a.parts)
@@ -251,30 +252,36 @@
 
 // checkCrash reports the crash of a server unless it still answers other requests of this
 // instance.
-func (t *Tracker) checkCrash(server string, i *interruption) {
+func (t *Tracker) checkCrash(process fleet.Process, i *interruption) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	for a := range t.inFlight[server] {
+	for a := range t.inFlight[process] {
 		switch {
 		case !a.sentAt.Before(i.at):
 		case a.receivedSince(i.at.Add(crashGrace)), time.Since(i.at) >= crashWait:
-			delete(t.interrupted, server)
+			delete(t.interrupted, process)
 			return
 		default:
-			time.AfterFunc(crashGrace, func() { t.checkCrash(server, i) })
+			time.AfterFunc(crashGrace, func() { t.checkCrash(process, i) })
 			return
 		}
 	}
-	delete(t.interrupted, server)
-	t.evidence.addCrash(server, i.at, i.requests)
+	delete(t.interrupted, process)
+	t.evidence.addCrash(process, i.at, i.requests)
 	t.changed()
-	go t.broadcast(message{Crashes: []crashReport{newCrashReport(server, i)}})
+	go t.broadcast(message{Crashes: []crashReport{newCrashReport(process, i)}})
 }
 
 // receivedSince reports whether bytes arrived after a time.
-func (a *Attempt) receivedSince(at time.Time) bool {
+func (a *Attempt) receivedSince(at time.Time) bool { return a.lastReceived().After(at) }
+
+// lastReceived returns when bytes last arrived; zero if none did.
+func (a *Attempt) lastReceived() time.Time {
 	received := a.receivedAt.Load()
-	return received > 0 && a.sentAt.Add(time.Duration(received)).After(at)
+	if received == 0 {
+		return time.Time{}
+	}
+	return a.sentAt.Add(time.Duration(received))
 }
 
 // changed wakes Run to judge the evidence. The caller holds the lock.
