quarantine, dispatch: A restarted server is another server that a content crashed

DisconnectTracker counted ids, and a disconnect of a known id neither lengthened the list nor renewed the refusal, though servers start again under their ids as other processes.

Change: the list holds processes, on the wire with an additional field for their starts; reports of earlier builds count by id as before.

--- a/internal/dispatch/disconnects.go
+++ b/internal/dispatch/disconnects.go
@@ -89,6 +89,6 @@
 		}
 	case outcomeOf(err) == retry.OutcomeDisconnected && ctx.Err() == nil:
 		content, at := x.fingerprint(), time.Now()
-		p.addFault(func() { x.d.Disconnects.Disconnected(content, p.server.ID, p.started, at) })
+		p.addFault(func() { x.d.Disconnects.Disconnected(content, p.server.Registration.Process(), p.started, at) })
 	}
 }
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -64,9 +64,9 @@
 	// RefusedFor returns how long a content is still refused; zero if it may be
 	// sent.
 	RefusedFor(content quarantine.Fingerprint) time.Duration
-	// Disconnected records that a server disconnected at a time while running a content. The
+	// Disconnected records that a server process disconnected at a time while running a content. The
 	// attempt began at started.
-	Disconnected(content quarantine.Fingerprint, server string, started, at time.Time)
+	Disconnected(content quarantine.Fingerprint, server fleet.Process, started, at time.Time)
 	// Answered records that a server answered a content completely.
 	Answered(content quarantine.Fingerprint)
 }
--- a/internal/quarantine/disconnects.go
+++ b/internal/quarantine/disconnects.go
@@ -11,6 +11,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/basilrail/basilrail/internal/events"
+	"github.com/basilrail/basilrail/internal/fleet"
 	"github.com/basilrail/basilrail/internal/peers"
 	"github.com/basilrail/basilrail/internal/wait"
 )
@@ -56,8 +57,8 @@
 
 // contentState is the state of one content.
 type contentState struct {
-	// servers are the servers that disconnected, in order.
-	servers []string
+	// servers are the server processes that disconnected, in order.
+	servers []fleet.Process
 	last    time.Time
 	// reported is true once the peers have been informed of the content.
 	reported bool
@@ -75,6 +76,28 @@
 	Servers     []string    `cbor:"2,keyasint"`
 	// Age is the time since the last disconnect, in milliseconds.
 	Age int64 `cbor:"3,keyasint"`
+	// Started are the starts of the servers' processes, as in fleet.Process; empty from earlier builds.
+	Started []int64 `cbor:"4,keyasint,omitempty"`
+}
+
+func (s *contentState) report(fp Fingerprint) contentReport {
+	r := contentReport{Fingerprint: fp, Age: time.Since(s.last).Milliseconds()}
+	for _, p := range s.servers {
+		r.Servers, r.Started = append(r.Servers, p.ID), append(r.Started, p.Started)
+	}
+	return r
+}
+
+// processes returns the server processes of a report.
+func (r *contentReport) processes() []fleet.Process {
+	list := make([]fleet.Process, len(r.Servers))
+	for i, id := range r.Servers {
+		list[i].ID = id
+		if i < len(r.Started) {
+			list[i].Started = r.Started[i]
+		}
+	}
+	return list
 }
 
 // NewDisconnectTracker returns a DisconnectTracker and registers its message handler.
@@ -101,10 +124,10 @@
 	return max(0, time.Until(state.last.Add(initialRefusal<<doublings)))
 }
 
-// Disconnected records that a server disconnected at a time, which may be some time ago, while
+// Disconnected records that a server process disconnected at a time, which may be some time ago, while
 // running a content. The attempt began at started. A disconnect is ignored if the attempt began before the
-// last one counted, or if the server already counts.
-func (d *DisconnectTracker) Disconnected(fp Fingerprint, server string, started, at time.Time) {
+// last one counted, or if the process already counts.
+func (d *DisconnectTracker) Disconnected(fp Fingerprint, server fleet.Process, started, at time.Time) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	state, ok := d.contents.Get(fp)
@@ -112,19 +135,22 @@
 		state = &contentState{}
 		d.contents.Add(fp, state)
 	}
-	if started.Before(state.last) || slices.Contains(state.servers, server) {
+	if started.Before(state.last) || state.has(server) {
 		return
 	}
 	d.setServers(fp, state, append(slices.Clone(state.servers), server), at)
 	d.unreported[fp] = true
 }
 
+// has reports whether a process counts already.
+func (s *contentState) has(p fleet.Process) bool { return slices.ContainsFunc(s.servers, p.IsSame) }
+
 // setServers stores a longer list of servers and the time of the last disconnect.
 // The caller holds the lock.
-func (d *DisconnectTracker) setServers(fp Fingerprint, state *contentState, servers []string, last time.Time) {
+func (d *DisconnectTracker) setServers(fp Fingerprint, state *contentState, servers []fleet.Process, last time.Time) {
 	state.servers, state.last = servers, last
 	if len(servers) >= disconnectLimit {
-		d.log.Log(events.ContentDisconnectsServers, events.Fields{Reason: fp.String(), Count: len(servers), Server: servers[len(servers)-1]})
+		d.log.Log(events.ContentDisconnectsServers, events.Fields{Reason: fp.String(), Count: len(servers), Server: servers[len(servers)-1].ID})
 	}
 }
 
@@ -164,9 +190,7 @@
 		delete(d.unreported, fp)
 		if state, ok := d.contents.Peek(fp); ok {
 			state.reported = true
-			m.Disconnected = append(m.Disconnected, contentReport{
-				Fingerprint: fp, Servers: slices.Clone(state.servers), Age: time.Since(state.last).Milliseconds(),
-			})
+			m.Disconnected = append(m.Disconnected, state.report(fp))
 		}
 	}
 	n := min(len(d.answered), maxContentsPerMessage)
@@ -204,13 +228,13 @@
 		d.contents.Add(content.Fingerprint, state)
 	}
 	state.reported = true
-	servers := slices.Clone(state.servers)
-	for _, server := range content.Servers {
-		if !slices.Contains(servers, server) && len(servers) < disconnectLimit+maxDoublings {
-			servers = append(servers, server)
+	merged := contentState{servers: slices.Clone(state.servers)}
+	for _, server := range content.processes() {
+		if !merged.has(server) && len(merged.servers) < disconnectLimit+maxDoublings {
+			merged.servers = append(merged.servers, server)
 		}
 	}
-	if len(servers) > len(state.servers) {
+	if servers := merged.servers; len(servers) > len(state.servers) {
 		last := time.Now().Add(-time.Duration(content.Age) * time.Millisecond)
 		if last.Before(state.last) {
 			last = state.last
--- a/internal/quarantine/quarantine_test.go
+++ b/internal/quarantine/quarantine_test.go
@@ -23,14 +23,14 @@
 	servers  = []string{"s1", "s2", "s3", "s4"}
 )
 
-// fleet is a group of connected instances in one synctest bubble.
-type fleet struct {
+// testFleet is a group of connected instances in one synctest bubble.
+type testFleet struct {
 	network   *membus.Network
 	table     tablestore.Table
 	instances []*Quarantine
 }
 
-func (f *fleet) add(t *testing.T) *Quarantine {
+func (f *testFleet) add(t *testing.T) *Quarantine {
 	id := fmt.Sprintf("entry-%d", len(f.instances))
 	q := New(Options{Bus: f.network.Join(id, "a"), Table: f.table, Rand: rand.New(rand.NewPCG(1, uint64(len(f.instances))))})
 	f.instances = append(f.instances, q)
@@ -38,8 +38,8 @@
 	return q
 }
 
-func newFleet(t *testing.T, n int) *fleet {
-	f := &fleet{network: membus.New(), table: memtable.New()}
+func newFleet(t *testing.T, n int) *testFleet {
+	f := &testFleet{network: membus.New(), table: memtable.New()}
 	for range n {
 		f.add(t)
 	}
@@ -63,11 +63,11 @@
 func TestSecondCrashQuarantinesOnAllInstances(t *testing.T) {
 	tests := []struct {
 		desc        string
-		injectFault func(f *fleet)
+		injectFault func(f *testFleet)
 	}{
-		{desc: "store and peers available", injectFault: func(*fleet) {}},
-		{desc: "store down", injectFault: func(f *fleet) { f.table.(*memtable.Table).SetFaults(memtable.Faults{Down: true}) }},
-		{desc: "all earlier instances disconnected", injectFault: func(f *fleet) {
+		{desc: "store and peers available", injectFault: func(*testFleet) {}},
+		{desc: "store down", injectFault: func(f *testFleet) { f.table.(*memtable.Table).SetFaults(memtable.Faults{Down: true}) }},
+		{desc: "all earlier instances disconnected", injectFault: func(f *testFleet) {
 			for i := range f.instances {
 				f.network.SetPartitioned(fmt.Sprintf("entry-%d", i), true)
 			}
--- a/internal/upgrade/loadtrial.go
+++ b/internal/upgrade/loadtrial.go
@@ -119,7 +119,9 @@
 	}
 }
 
-func (c *Controller) isBusy(u *upgradeState) bool { return c.requestRate(u.upgrade.Service) >= busyRate }
+func (c *Controller) isBusy(u *upgradeState) bool {
+	return c.requestRate(u.upgrade.Service) >= busyRate
+}
 
 // hasPassedTrial reports whether the answers under load permit to complete the upgrade. The caller
 // holds the lock.
