quarantine, peers, brittle: A new process asks its peers which contents crash servers

Cause: what DisconnectTracker knows is in memory, and a change was broadcast once. An instance that joined later learned nothing, and peers that knew more did not answer its reports.

Change: a new process asks three linked peers, each 200 ms until one that is informed has answered, as package brittle does for its list (peers.AskSome serves both). Some of the instances that know more than a report broadcast what they know, for instances that were cut off at their start.

--- a/internal/brittle/start.go
+++ b/internal/brittle/start.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -65,27 +64,13 @@
 
 // fetch asks some peers which servers are brittle and returns the number of those that answered.
 func (g *Guard) fetch() int {
-	var linked []peers.Peer
-	for _, p := range g.Bus.Peers() {
-		if p.Connected {
-			linked = append(linked, p)
-		}
-	}
-	rand.Shuffle(len(linked), func(i, j int) { linked[i], linked[j] = linked[j], linked[i] })
-	linked = linked[:min(len(linked), fetchPeers)]
 	ctx, cancel := context.WithTimeout(context.Background(), fetchTimeout)
 	defer cancel()
-	var answered atomic.Int64
-	var all sync.WaitGroup
-	for _, p := range linked {
-		all.Go(func() {
-			if err := g.servers.Fetch(ctx, p.ID); err != nil {
-				g.Log.Log(events.BrittleServersUnknown, events.Fields{Peer: p.ID, Err: err})
-				return
-			}
-			answered.Add(1)
-		})
-	}
-	all.Wait()
-	return int(answered.Load())
+	return peers.AskSome(ctx, g.Bus, fetchPeers, func(ctx context.Context, peer string) error {
+		err := g.servers.Fetch(ctx, peer)
+		if err != nil {
+			g.Log.Log(events.BrittleServersUnknown, events.Fields{Peer: peer, Err: err})
+		}
+		return err
+	})
 }
--- a/internal/events/servers.go
+++ b/internal/events/servers.go
@@ -145,6 +145,10 @@
 		Number: 6032, Name: "brittle_servers_unknown", Level: logrus.InfoLevel,
 		Message: "the instance in peer did not send the list of brittle backend servers to this new process",
 	})
+	CrashingContentsUnknown = register(Event{
+		Number: 6033, Name: "crashing_contents_unknown", Level: logrus.InfoLevel,
+		Message: "the instance in peer did not send the contents that disconnect servers to this new process",
+	})
 	ContentDisconnectsServers = register(Event{
 		Number: 6014, Name: "content_breaks_servers", Level: logrus.ErrorLevel,
 		Message: "several servers disconnected, one after another, while running the same request; it is refused temporarily",
--- a/internal/quarantine/disconnects.go
+++ b/internal/quarantine/disconnects.go
@@ -53,6 +53,8 @@
 	// answered.
 	unreported map[Fingerprint]bool
 	answered   []Fingerprint
+	// isInformed is set once the instance knows what its peers know, or no peer did in catchUpTime.
+	isInformed bool
 }
 
 // contentState is the state of one content.
@@ -69,6 +71,10 @@
 	Disconnected []contentReport `cbor:"1,keyasint,omitempty"`
 	// Answered are contents that were reported and then answered completely.
 	Answered []Fingerprint `cbor:"2,keyasint,omitempty"`
+	// IsRequest asks for the contents that the receiver knows. Its answer has the same type.
+	IsRequest bool `cbor:"3,keyasint,omitempty"`
+	// IsInformed is set in an answer if the sender itself knows what its peers know.
+	IsInformed bool `cbor:"4,keyasint,omitempty"`
 }
 
 type contentReport struct {
@@ -168,8 +174,10 @@
 	}
 }
 
-// Run broadcasts unreported changes to the peers until the context ends.
+// Run broadcasts unreported changes to the peers until the context ends. Before, it fetches what the
+// peers know.
 func (d *DisconnectTracker) Run(ctx context.Context) {
+	go d.catchUp(ctx)
 	wait.Every(ctx, broadcastInterval, func() {
 		if m := d.message(); len(m.Disconnected)+len(m.Answered) > 0 {
 			d.bus.Broadcast(peers.KindCrashingContent, m)
@@ -204,6 +212,9 @@
 	if err := cbor.Unmarshal(msg.Body, &m); err != nil {
 		return nil, errors.Wrap(err, "decode content disconnects")
 	}
+	if m.IsRequest {
+		return d.known(), nil
+	}
 	if len(m.Disconnected) > maxContentsPerMessage || len(m.Answered) > maxContentsPerMessage {
 		return nil, errors.Errorf("too many contents in one message: %d disconnected, %d answered", len(m.Disconnected), len(m.Answered))
 	}
@@ -211,6 +222,7 @@
 	defer d.mu.Unlock()
 	for _, content := range m.Disconnected {
 		d.mergeReport(content)
+		d.answerReport(content)
 	}
 	for _, fp := range m.Answered {
 		d.contents.Remove(fp)
