bytebudget, platform, dispatch: Bound the bytes of all requests together

Callers would see: a faulty server whose bytes do not end fills the memory of the instance that asks it; the process is killed and the requests of all clients end with it (LOST).

Cause: what one attempt reads was bounded, the sum over all attempts, and over the bodies of callers, was not. A buffer that doubles costs more than it holds, and received bytes that wait in the kernel count as well.

Change: one budget for answers and one for bodies, drawn from the memory limit and charged as buffers grow. Past it the largest answer of the server, or body of the key, with the most bytes ends; complete answers never do. A body that can't be held is refused at once as not run.

--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -153,7 +153,7 @@
 	if head.Status >= http.StatusInternalServerError {
 		x.execution = apierror.DidRun
 		if x.route.Repeatable() {
-			x.serverFailure = complete
+			x.keepFailure(complete, answer)
 			return errServerFailed
 		}
 	}
@@ -164,6 +164,20 @@
 	return nil
 }
 
+// keepFailure keeps a failure response, in place of an earlier one, while other attempts follow.
+func (x *exchange) keepFailure(failure *completeAnswer, answer Answer) {
+	x.dropFailure()
+	x.serverFailure, x.releaseFailure = failure, answer.Keep()
+}
+
+// dropFailure gives up the failure response that was kept.
+func (x *exchange) dropFailure() {
+	if x.releaseFailure != nil {
+		x.releaseFailure()
+	}
+	x.serverFailure, x.releaseFailure = nil, nil
+}
+
 // escalates reports whether a larger model is asked instead, and prepares the attempt.
 func (x *exchange) escalates(head Head) bool {
 	if len(x.tiers) == 0 || x.sent+1 > x.route.MaxAttempts {
--- a/internal/dispatch/brittleplain_test.go
+++ b/internal/dispatch/brittleplain_test.go
@@ -34,10 +34,11 @@
 // plainAnswer is a complete answer of a simulated server.
 type plainAnswer struct{}
 
-func (plainAnswer) Head() Head            { return Head{Status: http.StatusOK} }
-func (plainAnswer) Body() ([]byte, error) { return []byte("done"), nil }
-func (plainAnswer) Next() (Event, error)  { return Event{}, errTest }
-func (plainAnswer) Close()                {}
+func (plainAnswer) Head() Head             { return Head{Status: http.StatusOK} }
+func (plainAnswer) Body() ([]byte, error)  { return []byte("done"), nil }
+func (plainAnswer) Keep() (release func()) { return func() {} }
+func (plainAnswer) Next() (Event, error)   { return Event{}, errTest }
+func (plainAnswer) Close()                 {}
 
 // sendPlain sends a request that a server answers without a stream.
 func (t *simTransport) sendPlain(ctx context.Context, a *Attempt) (Answer, error) {
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -57,6 +57,8 @@
 func (f *fakeAnswer) Head() Head { return f.head }
 func (f *fakeAnswer) Close()     {}
 
+func (f *fakeAnswer) Keep() (release func()) { return func() {} }
+
 func (f *fakeAnswer) Body() ([]byte, error) { return []byte(f.body), f.err }
 
 func (f *fakeAnswer) Next() (Event, error) {
--- a/internal/dispatch/exchange.go
+++ b/internal/dispatch/exchange.go
@@ -89,6 +89,8 @@
 	// serverFailure is a failure response of a server. It is delivered unless
 	// another attempt answers.
 	serverFailure *completeAnswer
+	// releaseFailure returns the memory of serverFailure; nil for none.
+	releaseFailure func()
 	// streamStarted reports whether the caller's stream has begun, and lastEvent is the last id
 	// that it contains; empty for none.
 	streamStarted bool
@@ -139,6 +141,7 @@
 // run makes attempts until one answers or no further attempt is allowed.
 func (x *exchange) run(ctx context.Context) *Refusal {
 	defer x.confirmFailure()
+	defer x.dropFailure()
 	for {
 		p, refusal := x.nextPlacement(ctx)
 		if refusal != nil {
--- a/internal/dispatch/simserver_test.go
+++ b/internal/dispatch/simserver_test.go
@@ -129,9 +129,10 @@
 	}
 }
 
-func (s *simAnswer) Head() Head            { return s.head }
-func (s *simAnswer) Body() ([]byte, error) { return nil, errTest }
-func (s *simAnswer) Close()                { s.leave() }
+func (s *simAnswer) Head() Head             { return s.head }
+func (s *simAnswer) Body() ([]byte, error)  { return nil, errTest }
+func (s *simAnswer) Keep() (release func()) { return func() {} }
+func (s *simAnswer) Close()                 { s.leave() }
 
 func (s *simAnswer) Next() (Event, error) {
 	if s.events == 0 {
--- a/internal/dispatch/transport.go
+++ b/internal/dispatch/transport.go
@@ -25,6 +25,8 @@
 	// Next reads the next event. It returns io.EOF after the last event of a
 	// complete stream; any other error is a *SendError.
 	Next() (Event, error)
+	// Keep lets the caller use a body that was read after Close, until it calls release.
+	Keep() (release func())
 	// Close ends the attempt; the server stops if the answer was not read to the
 	// end.
 	Close()
--- a/internal/events/exchanges.go
+++ b/internal/events/exchanges.go
@@ -32,6 +32,16 @@
 		Message: "no server of the release selected for a request is known; version is that release",
 		Action:  "Check whether the servers of the release deregistered.",
 	})
+	AnswerEvicted = register(Event{
+		Number: 2108, Name: "answer_evicted", Level: logrus.WarnLevel,
+		Message: "an answer was given up because the answers in progress use up the memory; backend_server has the most of these bytes, count are those of the answer",
+		Action:  "Check what the server sends; if it is sound, the instance needs more memory.",
+	})
+	BodyRefused = register(Event{
+		Number: 2109, Name: "body_refused", Level: logrus.WarnLevel,
+		Message: "a request was refused before its body was read, because the bodies of requests in progress use up the memory; count are the bytes that had arrived",
+		Action:  "Check which client account sends many large bodies; if all are sound, add instances.",
+	})
 	ExchangeServerSilent = register(Event{
 		Number: 2107, Name: "exchange_server_silent", Level: logrus.WarnLevel,
 		Message: "a backend server sent nothing for longer than an attempt waits; outcome shows what followed",
