upgrade: An order back to the settled release keeps requests there

Cause: every order was taken as a move to a new release. The old release of an order to the settled one was the only other, the one on trial; its answers became the baseline by which the settled release was judged.

Change: an order to the settled release is a return. Requests run there at once, but for sessions that began on the other release, in the first half of the duration; nothing is judged. The record has a share of one, so that instances which start later know it.

--- a/internal/upgrade/evidence.go
+++ b/internal/upgrade/evidence.go
@@ -193,7 +193,7 @@
 	if m.Moved && !current.moved && !current.leansBad(e.totals()) {
 		c.move(current, c.progress(current))
 	}
-	if m.Bad && !current.bad {
+	if m.Bad && !current.bad && !current.isReturn {
 		c.markBad(current, "marked as bad by a peer")
 	}
 	return nil, nil
--- a/internal/upgrade/loadtrial.go
+++ b/internal/upgrade/loadtrial.go
@@ -13,10 +13,10 @@
 	// trialSound is the log likelihood ratio at which a route is sound under load: a release
 	// with trialExcess passes a route once in exp(3), about 20, trials.
 	trialSound = -3.0
-	// trialSoundInAll is the sum of the ratios of all routes that a busy service needs, about 20
+	// trialSoundInAll is the sum of the ratios of all routes that a busy service needs, about 35
 	// answers without a failure; busyRate is the number of requests per second from which a
 	// service has them within seconds.
-	trialSoundInAll = -6.0
+	trialSoundInAll = -10.0
 	busyRate        = 5.0
 	// trialLeaning is the ratio at which the release is bad at the end of the duration, and
 	// trialBad that at which it is bad at any time.
@@ -135,7 +135,7 @@
 func (c *Controller) Alternative(service, release string) string {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if u := c.upgrades[service]; u == nil || u.upgrade.To != release || u.machine.Final() {
+	if u := c.upgrades[service]; u == nil || u.upgrade.To != release || u.isReturn || u.machine.Final() {
 		return ""
 	}
 	return c.oldRelease(service, release)
@@ -146,7 +146,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	u := c.upgrades[service]
-	if u == nil || u.upgrade.To != release || !u.moved || u.bad || u.machine.State() != statechart.UpgradeMoving {
+	if u == nil || u.upgrade.To != release || u.isReturn || !u.moved || u.bad || u.machine.State() != statechart.UpgradeMoving {
 		return false
 	}
 	u.hasPacked = true
--- a/internal/upgrade/move.go
+++ b/internal/upgrade/move.go
@@ -6,6 +6,9 @@
 	// canaryExposure is the part of the allowed exposure that the canary may use; the rest is
 	// left for the load trial.
 	canaryExposure = 0.4
+	// returnShare is the canary share in the record of an order back to the settled release;
+	// others are at most canaryExposure * maxAllowedShare.
+	returnShare = 1.0
 	// maxAllowedShare bounds the allowed exposure as a share of the requests, for services
 	// with fewer requests than the slack.
 	maxAllowedShare = 0.3
--- a/internal/upgrade/step.go
+++ b/internal/upgrade/step.go
@@ -140,6 +140,9 @@
 			Service: service, To: u.upgrade.To, UpgradeRevision: u.upgrade.Revision, Started: now,
 			State: statechart.UpgradeObserving, CanaryShare: c.canaryShare(u.upgrade), Revision: r.Revision,
 		}
+		if u.isReturn {
+			u.record.CanaryShare = returnShare
+		}
 	}
 }
 
@@ -159,6 +162,11 @@
 	isReset := u.machine.Final() && r.State == statechart.UpgradeObserving
 	u.noteLost(isReset || r.UpgradeRevision.Before(u.upgrade.Revision))
 	u.record, u.recordKnown, u.stored = r, true, true
+	if r.CanaryShare == returnShare && !u.isReturn {
+		// This instance has started since and does not know the settled release.
+		u.isReturn, u.moved = true, true
+		c.settled[r.Service] = r.To
+	}
 	if u.machine.Final() {
 		return
 	}
@@ -199,6 +207,12 @@
 		return
 	}
 	counts, progress := c.evidence.byService[service].totals(), c.progress(u)
+	if u.isReturn {
+		if u.machine.State() == statechart.UpgradeObserving && progress >= moveStart {
+			c.fire(u, statechart.UpgradeHalfPassed)
+		}
+		return
+	}
 	u.verdict.update(counts, u.machine.State() == statechart.UpgradeMoving, u.hasPacked)
 	if u.verdict.reason != "" && !u.bad {
 		c.markBad(u, u.verdict.reason)
@@ -316,6 +330,9 @@
 	if u.machine.State() != statechart.UpgradeMoving || progress < trialDue || !u.moved || progress < u.movedAt+minMoved {
 		return false
 	}
+	if u.isReturn {
+		return c.serves(u.upgrade.Service, u.upgrade.To)
+	}
 	if !c.serves(u.upgrade.Service, u.upgrade.To) || !c.hasPassedTrial(u, progress) {
 		return false
 	}
--- a/internal/upgrade/upgrade.go
+++ b/internal/upgrade/upgrade.go
@@ -166,6 +166,9 @@
 	lostSince time.Time
 	// earlier are the requests that this upgrade and its predecessors replaced.
 	earlier []Upgrade
+	// isReturn is set if the release is the settled one: the operator takes back an order before it
+	// is completed. The settled release is not judged, since the others were judged by it.
+	isReturn bool
 	// bad is true if this instance or a peer marked the release as bad, at badSince.
 	bad      bool
 	badSince time.Time
@@ -242,6 +245,9 @@
 		u.earlier = append(old.earlier, old.upgrade)
 		u.earlier = u.earlier[max(0, len(u.earlier)-maxEarlier):]
 	}
+	if c.settledRelease(upgrade.Service) == upgrade.To {
+		u.isReturn, u.moved = true, true
+	}
 	c.upgrades[upgrade.Service] = u
 	c.evidence.reset(upgrade)
 	c.pinRunningSessions(u)
@@ -295,6 +301,8 @@
 	}
 	old := c.oldRelease(service, u.upgrade.To)
 	switch state := u.machine.State(); {
+	case u.isReturn:
+		return c.releaseOnReturn(u, session, key)
 	case state == statechart.UpgradeCompleted:
 		return u.upgrade.To
 	case u.isWithdrawn():
@@ -346,6 +354,17 @@
 	return c.settled[service]
 }
 
+// releaseOnReturn returns the release for a session while an order is taken back: the settled one, but
+// for sessions that began on another one, in the first half.
+func (c *Controller) releaseOnReturn(u *upgradeState, session string, key sessionKey) string {
+	seen, ok := c.recent.Get(key)
+	isRecent := session != "" && ok && time.Since(seen.at) < c.sessionTTL()
+	if isRecent && seen.release != "" && u.machine.State() == statechart.UpgradeObserving && !c.isWithdrawn(u.upgrade.Service, seen.release) {
+		return seen.release
+	}
+	return u.upgrade.To
+}
+
 // releaseDuring returns the release for a session during an upgrade.
 func (c *Controller) releaseDuring(u *upgradeState, session string, key sessionKey, old string) string {
 	seen, ok := c.recent.Get(key)
@@ -407,7 +426,7 @@
 	if isRunning {
 		c.evidence.observe(u.upgrade, o, c.baselines.compare(o), u.moved)
 	}
-	if !isRunning || o.Release != u.upgrade.To {
+	if !isRunning || (o.Release == u.upgrade.To) == u.isReturn {
 		c.baselines.learn(o)
 	}
 }
--- a/internal/upgrade/withdrawn.go
+++ b/internal/upgrade/withdrawn.go
@@ -17,8 +17,11 @@
 	c.withdrawn[service] = list[max(0, len(list)-maxEarlier):]
 }
 
-// isWithdrawn reports whether the new release was judged bad.
+// isWithdrawn reports whether the new release was judged bad. The settled release never is.
 func (u *upgradeState) isWithdrawn() bool {
+	if u.isReturn {
+		return false
+	}
 	state := u.machine.State()
 	return state == statechart.UpgradeReverted || u.bad && state != statechart.UpgradeCompleted
 }
