--- a/internal/upgrade/upgrade.go
+++ b/internal/upgrade/upgrade.go
@@ -6,7 +6,8 @@
 // draw. In the first half a running session stays on its release. Near the end all
 // requests move, as late as needed to keep the allowed exposure to a bad release. Instances
 // exchange counts of the answers of both releases; sequential tests on the sums stop a bad
-// release after few answers. There is no leader: each instance may record the outcome, and
+// release after few answers, and an upgrade is completed only once the new release is sound under
+// the load of all requests. There is no leader: each instance may record the outcome, and
 // the store accepts the first write.
 package upgrade
 
