--- a/internal/upgrade/loadtrial.go
+++ b/internal/upgrade/loadtrial.go
@@ -83,7 +83,8 @@
 	return failures.rate(old) > failures.usual
 }
 
-// favorsOld reports whether the failures under load on a route are rather those of a bad release.
+// favorsOld reports whether a bad release explains the failures under load on a route better than one
+// like the old one does.
 func (r routeCounts) favorsOld() bool {
 	for key, under := range r {
 		old := r.old(key.Route)
@@ -119,6 +120,8 @@
 	}
 }
 
+// isBusy reports whether a service has enough requests to judge all of its routes together. The caller
+// holds the lock.
 func (c *Controller) isBusy(u *upgradeState) bool {
 	return c.requestRate(u.upgrade.Service) >= busyRate
 }
--- a/internal/upgrade/move.go
+++ b/internal/upgrade/move.go
@@ -25,18 +25,16 @@
 	moveStart = 0.52
 	// verdictStart is the fraction of the duration from which a release on which the
 	// evidence is not good is taken as bad. It leaves time to notify the peers before
-	// completeStart: after a restart they may know too little to see it.
+	// trialDue: after a restart they may know too little to see it.
 	verdictStart = 0.9
 	// forcedStart is the fraction of the duration at which requests move even if they
 	// exceed the allowed exposure.
 	forcedStart = 0.95
-	// completeStart is the fraction of the duration from which an upgrade may complete,
-	// and minMoved that for which all requests must have run on the new release by then.
-	completeStart = 0.93
-	minMoved      = 0.01
-	// trialDue is the fraction of the duration from which the load trial should have a
-	// result. It leaves time to record the outcome.
+	// trialDue is the fraction of the duration from which an upgrade may complete, if its load
+	// trial has a result, and minMoved that for which all requests must have run on the new
+	// release by then. It leaves time to record the outcome.
 	trialDue = 0.955
+	minMoved = 0.01
 )
 
 // Exposure bounds the requests to a bad release, from the operator's request for an
