dispatch: Set the simulated latency before the first instance starts

Nothing that callers saw. The race detector ended TestBrittleServersStandInRandomFleets: since an instance asks its peers for known contents as soon as it starts, it reads the latency of the simulated network, which the test set only once all instances were there. The first messages of these cases were without latency, besides.

The latency is an option of the simulated fleet now and stands before the first instance joins.

--- a/internal/dispatch/brittleplain_test.go
+++ b/internal/dispatch/brittleplain_test.go
@@ -197,16 +197,8 @@
 // play runs a case: two seconds of light load, contactTime in which the servers announce that they
 // are brittle, and then a load during which they fall over.
 func (c *plainCase) play(seed uint64) plainResult {
-	f := newSimFleetOf(simFleetOptions{instances: c.instances, servers: c.servers, slots: c.slots, domains: c.domains, seed: seed})
+	f := newSimFleetOf(simFleetOptions{instances: c.instances, servers: c.servers, slots: c.slots, domains: c.domains, latency: c.latency, seed: seed})
 	defer f.close()
-	if c.latency > 0 {
-		latencies := rand.New(rand.NewPCG(seed, 11))
-		f.network.Latency = func() time.Duration {
-			f.mu.Lock()
-			defer f.mu.Unlock()
-			return time.Duration(latencies.Int64N(int64(c.latency)))
-		}
-	}
 	f.mu.Lock()
 	f.queue, f.brittle, f.linger = c.slots, c.rejections, 1500*time.Millisecond
 	f.work = func(rng *rand.Rand) time.Duration {
--- a/internal/dispatch/deadlyfleet_test.go
+++ b/internal/dispatch/deadlyfleet_test.go
@@ -140,6 +140,8 @@
 	slots int
 	// domains is the number of failure domains; zero for a single one.
 	domains int
+	// latency bounds how long a message between instances is on the way; zero for none.
+	latency time.Duration
 	seed    uint64
 	deadly  []uint64
 }
@@ -154,6 +156,15 @@
 		id := fmt.Sprint("s", f.next)
 		f.servers[id] = newSimServer(id)
 	}
+	if o.latency > 0 {
+		latencies := rand.New(rand.NewPCG(o.seed, 11))
+		// Before the first instance starts: it asks its peers at once.
+		f.network.Latency = func() time.Duration {
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			return time.Duration(latencies.Int64N(int64(o.latency)))
+		}
+	}
 	for i := range o.instances {
 		f.instances = append(f.instances, f.newInstance(simName(i)))
 	}
--- a/internal/peers/membus/membus.go
+++ b/internal/peers/membus/membus.go
@@ -21,7 +21,7 @@
 // Network connects the buses of several instances. The zero value is not usable; call
 // New.
 type Network struct {
-	// Latency, if set, returns how long a message is on the way.
+	// Latency, if set before the first Join, returns how long a message is on the way.
 	Latency func() time.Duration
 
 	mu          sync.Mutex
