--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -266,8 +266,10 @@
 	case outcome == retry.OutcomeNoCapacity:
 		p.server.RecordCapacityRefusal(now)
 		x.d.Limits.Rejected(p.server)
-	case outcome == retry.OutcomeConnectFailed, outcome == retry.OutcomeTimeout && ctx.Err() == nil:
-		p.addFault(func() { x.recordUnresponsive(p, now) })
+	case outcome == retry.OutcomeConnectFailed:
+		p.addFault(func() { x.recordUnreachable(p, now) })
+	case outcome == retry.OutcomeTimeout && ctx.Err() == nil:
+		p.addFault(func() { x.recordSilent(p, now) })
 	case outcome == retry.OutcomeCallerGone, outcome == retry.OutcomeDraining, ctx.Err() != nil:
 	case err == errServerFailed:
 		x.logEjection(p, p.server.RecordFailure(now))
@@ -285,15 +287,22 @@
 	x.observe(p, true, false)
 }
 
-// recordUnresponsive records that the server can't be reached or does not respond,
-// and notifies the peers if it was ejected.
-func (x *exchange) recordUnresponsive(p *placement, now time.Time) {
-	if !p.server.RecordUnresponsive(now) {
-		return
+// recordUnreachable records that the server can't be connected to, and notifies the peers if it
+// was ejected.
+func (x *exchange) recordUnreachable(p *placement, now time.Time) {
+	ejected := p.server.RecordUnresponsive(now)
+	x.logEjection(p, ejected)
+	if ejected && x.d.Notifier != nil {
+		x.d.Notifier.NotifyUnreachable(p.server)
 	}
-	x.logEjection(p, true)
-	if x.d.Notifier != nil {
-		x.d.Notifier.Notify(p.server)
+}
+
+// recordSilent records that the server does not respond, and notifies the peers if it was ejected.
+func (x *exchange) recordSilent(p *placement, now time.Time) {
+	ejected := p.server.RecordUnresponsive(now)
+	x.logEjection(p, ejected)
+	if ejected && x.d.Notifier != nil {
+		x.d.Notifier.NotifySilent(p.server)
 	}
 }
 
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -52,8 +52,10 @@
 
 // UnresponsiveNotifier notifies other instances of an unresponsive backend server.
 type UnresponsiveNotifier interface {
-	// Notify broadcasts to the peers that server is unresponsive.
-	Notify(server *fleet.Server)
+	// NotifyUnreachable broadcasts to the peers that this instance can't connect to server.
+	NotifyUnreachable(server *fleet.Server)
+	// NotifySilent broadcasts to the peers that server does not respond.
+	NotifySilent(server *fleet.Server)
 }
 
 // DisconnectTracker tracks request contents that make servers disconnect while they
--- a/internal/dispatch/paths_test.go
+++ b/internal/dispatch/paths_test.go
@@ -22,8 +22,9 @@
 	notices, observed int
 }
 
-func (r *faultRecorder) Notify(*fleet.Server) { r.notices++ }
-func (r *faultRecorder) Observe(Observation)  { r.observed++ }
+func (r *faultRecorder) NotifyUnreachable(*fleet.Server) { r.notices++ }
+func (r *faultRecorder) NotifySilent(*fleet.Server)      { r.notices++ }
+func (r *faultRecorder) Observe(Observation)             { r.observed++ }
 
 // TestFaultsOfLinksAreNotReportedAsFaultsOfServers guards against ejections, notices, evidence
 // against releases and accused contents that come from an instance which reaches no server.
