poison: Write the record that was due, not the one that is there by then

What callers saw: a part of a prompt that crashes servers passed as a trial at two instances at the same moment, so that two servers could crash where one may.

Cause: an instance found under its lock that a trial was due, but read the record with the position on which its write is conditional only later, after a broadcast. If the feed had brought another instance's trial by then, the condition held and the instance acquired a trial that was not due.

Change: the record is copied when it is found due, and written as it was.

--- a/internal/poison/records.go
+++ b/internal/poison/records.go
@@ -178,9 +178,16 @@
 	t.lift(v, time.Now())
 }
 
-// dueRecords returns the verdicts whose records are to be written, and acquires no trial
-// while a write is pending. The caller holds the lock.
-func (t *Tracker) dueRecords(now time.Time) []*verdict {
+// dueRecord is the record of a verdict as it was when it became due. A later one that the feed
+// brings meanwhile is not due: it may be another instance's trial.
+type dueRecord struct {
+	verdict *verdict
+	record  Record
+}
+
+// dueRecords returns the records that are to be written, and acquires no trial while a write is
+// pending. The caller holds the lock.
+func (t *Tracker) dueRecords(now time.Time) []dueRecord {
 	if t.Records == nil {
 		return nil
 	}
@@ -188,7 +195,7 @@
 	if !ok {
 		return nil
 	}
-	var due []*verdict
+	var due []dueRecord
 	for _, v := range slices.Clone(t.verdicts) {
 		t.schedule(&v.record, v.from)
 		if v.isSaving || now.Sub(v.triedAt) < saveRetry {
@@ -204,23 +211,20 @@
 			continue
 		}
 		v.isSaving, v.triedAt = true, now
-		due = append(due, v)
+		due = append(due, dueRecord{v, v.record})
 	}
 	return due
 }
 
 // saveRecords writes records without holding up the caller.
-func (t *Tracker) saveRecords(ctx context.Context, due []*verdict) {
-	for _, v := range due {
-		go t.saveRecord(ctx, v)
+func (t *Tracker) saveRecords(ctx context.Context, due []dueRecord) {
+	for _, d := range due {
+		go t.saveRecord(ctx, d.verdict, d.record)
 	}
 }
 
 // saveRecord writes the record of a verdict. If it was stored before, it acquires a trial.
-func (t *Tracker) saveRecord(ctx context.Context, v *verdict) {
-	t.mu.Lock()
-	r := v.record
-	t.mu.Unlock()
+func (t *Tracker) saveRecord(ctx context.Context, v *verdict, r Record) {
 	isTrial := !r.Position.IsZero()
 	if clock, ok := t.Records.Now(); isTrial && ok {
 		delay := firstTrial
