--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -10,6 +10,7 @@
 
 	"github.com/basilrail/basilrail/internal/apierror"
 	"github.com/basilrail/basilrail/internal/events"
+	"github.com/basilrail/basilrail/internal/fleet"
 	"github.com/basilrail/basilrail/internal/modeltier"
 	"github.com/basilrail/basilrail/internal/prefill"
 	"github.com/basilrail/basilrail/internal/retry"
@@ -267,9 +268,9 @@
 		p.server.RecordCapacityRefusal(now)
 		x.d.Limits.Rejected(p.server)
 	case outcome == retry.OutcomeConnectFailed:
-		p.addFault(func() { x.recordUnreachable(p, now) })
+		p.addFault(func() { x.recordUnresponsive(p, now, UnresponsiveNotifier.NotifyUnreachable) })
 	case outcome == retry.OutcomeTimeout && ctx.Err() == nil:
-		p.addFault(func() { x.recordSilent(p, now) })
+		p.addFault(func() { x.recordUnresponsive(p, now, UnresponsiveNotifier.NotifySilent) })
 	case outcome == retry.OutcomeCallerGone, outcome == retry.OutcomeDraining, ctx.Err() != nil:
 	case err == errServerFailed:
 		x.logEjection(p, p.server.RecordFailure(now))
@@ -287,22 +288,15 @@
 	x.observe(p, true, false)
 }
 
-// recordUnreachable records that the server can't be connected to, and notifies the peers if it
-// was ejected.
-func (x *exchange) recordUnreachable(p *placement, now time.Time) {
-	ejected := p.server.RecordUnresponsive(now)
-	x.logEjection(p, ejected)
-	if ejected && x.d.Notifier != nil {
-		x.d.Notifier.NotifyUnreachable(p.server)
+// recordUnresponsive records that the server can't be reached or does not respond. If it was
+// ejected, notify tells the peers which.
+func (x *exchange) recordUnresponsive(p *placement, now time.Time, notify func(n UnresponsiveNotifier, server *fleet.Server)) {
+	if !p.server.RecordUnresponsive(now) {
+		return
 	}
-}
-
-// recordSilent records that the server does not respond, and notifies the peers if it was ejected.
-func (x *exchange) recordSilent(p *placement, now time.Time) {
-	ejected := p.server.RecordUnresponsive(now)
-	x.logEjection(p, ejected)
-	if ejected && x.d.Notifier != nil {
-		x.d.Notifier.NotifySilent(p.server)
+	x.logEjection(p, true)
+	if x.d.Notifier != nil {
+		notify(x.d.Notifier, p.server)
 	}
 }
 
--- a/internal/dispatch/secure.go
+++ b/internal/dispatch/secure.go
@@ -89,7 +89,7 @@
 	// The check of the links may take longer than the caller of secureNext can wait.
 	go func() {
 		if x.d.Paths == nil || x.d.Paths.Check(ctx, x.service) {
-			x.recordSilent(p, now)
+			x.recordUnresponsive(p, now, UnresponsiveNotifier.NotifySilent)
 		}
 	}()
 }
--- a/internal/unresponsive/unresponsive.go
+++ b/internal/unresponsive/unresponsive.go
@@ -111,7 +111,9 @@
 		switch {
 		case err == nil:
 			n.Keep(server.Registration.Address, c)
-		case !errors.Is(err, serverpath.ErrCutOff):
+		case errors.Is(err, serverpath.ErrCutOff):
+			// Logged where the path is found lost.
+		default:
 			n.eject(server, peer)
 		}
 	}()
