--- a/review/stage/main.go
+++ b/review/stage/main.go
@@ -27,7 +27,8 @@
 
 // cases are the cases by name. Each returns how often its rule was broken.
 var cases = map[string]func(r *recorder) int{
-	"once": playOnce,
+	"once":   playOnce,
+	"joined": playJoined,
 }
 
 // maxTime bounds a case. One that takes longer could not run.
