review: Case 8, changed settings are never applied, so the configuration stays that of a store that is gone

Seen: the settings files name another address of the store, one instance gets SIGHUP, and the store leaves the former address 10 s later. A route that the operator moves after that is served by its former service on all instances, for as long as they run.

Code at fault: watchSettings (platform/main.go) checks a changed settings file and applies nothing.

--- a/review/stage/main.go
+++ b/review/stage/main.go
@@ -29,6 +29,7 @@
 var cases = map[string]func(r *recorder) int{
 	"once":   playOnce,
 	"joined": playJoined,
+	"moved":  playMoved,
 }
 
 // maxTime bounds a case. One that takes longer could not run.
