--- a/review/stage/main.go
+++ b/review/stage/main.go
@@ -27,9 +27,10 @@
 
 // cases are the cases by name. Each returns how often its rule was broken.
 var cases = map[string]func(r *recorder) int{
-	"once":   playOnce,
-	"joined": playJoined,
-	"moved":  playMoved,
+	"once":    playOnce,
+	"joined":  playJoined,
+	"moved":   playMoved,
+	"encoded": playEncoded,
 }
 
 // maxTime bounds a case. One that takes longer could not run.
