review: Case 10, a request that crashes servers is forgotten when all instances are killed

Seen: three crashes, then all instances refuse the request. All are killed at the same moment and start again; the request reaches four servers later, sent by instances in touch, where three retries are allowed.

Code at fault: internal/quarantine/disconnects.go keeps what it knows in memory only, and nobody is left to ask.

--- a/review/stage/fleet.go
+++ b/review/stage/fleet.go
@@ -22,6 +22,7 @@
 const (
 	heartbeat    = 1200 * time.Millisecond
 	configApply  = 2 * time.Second
+	contact      = 3 * time.Second
 	startTime    = 15 * time.Second
 	readyEach    = 100 * time.Millisecond
 	routeHost    = "ficu95.example"
@@ -98,7 +99,9 @@
 	name, ip, zone, front, readiness, settings string
 	ports                                      [2]int
 	cmd                                        *exec.Cmd
-	ended                                      chan struct{}
+	// startedAt is when the process started, and ended is closed when it has ended.
+	startedAt time.Time
+	ended     chan struct{}
 }
 
 // fleet is the stage of a case: the store, the instances and the addresses on which they are.
@@ -155,14 +158,21 @@
 
 // start starts an instance with the command of the deploy file and the variables that DEPLOY.md names.
 func (f *fleet) start(name, zone string) *instance {
-	m := &instance{name: name, ip: f.ip(), zone: zone, settings: filepath.Join(f.dir, name+".toml"), ended: make(chan struct{})}
+	m := &instance{name: name, ip: f.ip(), zone: zone, settings: filepath.Join(f.dir, name+".toml")}
 	m.front, m.readiness = fmt.Sprintf("%s:%d", m.ip, freePort(m.ip)), fmt.Sprintf("%s:%d", m.ip, freePort(m.ip))
 	m.ports[0] = freePort(m.ip)
 	m.ports[1] = m.ports[0] + 15
 	m.writeSettings(f.address)
-	log, err := os.Create(filepath.Join(f.dir, name+".log"))
+	m.run(f.dir)
+	f.members = append(f.members, m)
+	return m
+}
+
+// run starts the process of an instance. Its log goes on in the file of earlier ones.
+func (m *instance) run(dir string) {
+	log, err := os.OpenFile(filepath.Join(dir, m.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
-		fail("make a log: %v", err)
+		fail("open a log: %v", err)
 	}
 	defer log.Close()
 	m.cmd = exec.Command("target/basilraild", "platform")
@@ -171,12 +181,26 @@
 	if err := m.cmd.Start(); err != nil {
 		fail("start an instance: %v", err)
 	}
-	go func() {
-		_ = m.cmd.Wait()
-		close(m.ended)
-	}()
-	f.members = append(f.members, m)
-	return m
+	m.startedAt, m.ended = time.Now(), make(chan struct{})
+	go func(cmd *exec.Cmd, ended chan struct{}) {
+		_ = cmd.Wait()
+		close(ended)
+	}(m.cmd, m.ended)
+}
+
+// killAll ends the processes of all instances at the same moment, as a loss of power does, and starts them
+// again after a time.
+func (f *fleet) killAll(down time.Duration) {
+	for _, m := range f.members {
+		_ = m.cmd.Process.Signal(syscall.SIGKILL)
+	}
+	for _, m := range f.members {
+		<-m.ended
+	}
+	time.Sleep(down)
+	for _, m := range f.members {
+		m.run(f.dir)
+	}
 }
 
 // isReady reports whether an instance answers 200 to the platform's question.
--- a/review/stage/main.go
+++ b/review/stage/main.go
@@ -31,6 +31,7 @@
 	"joined":  playJoined,
 	"moved":   playMoved,
 	"encoded": playEncoded,
+	"forgot":  playForgot,
 }
 
 // maxTime bounds a case. One that takes longer could not run.
--- a/review/stage/store.go
+++ b/review/stage/store.go
@@ -54,6 +54,15 @@
 	s.notify()
 }
 
+// drop deletes a row.
+func (s *store) drop(table, key string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.ver++
+	s.apply(row{Table: table, Key: key, Ver: s.ver, Tombstone: true})
+	s.notify()
+}
+
 // apply applies a row. The caller holds the lock.
 func (s *store) apply(r row) {
 	if r.Tombstone {
