--- a/review/stage/joined.go
+++ b/review/stage/joined.go
@@ -10,10 +10,10 @@
 // Values of the case "joined". A share of the servers breaks off a share of its answers, both within the
 // doses of garble in the site file.
 const (
-	joinedRequests  = 400
+	joinedRequests  = 900
 	joinedEvents    = 6
 	joinedEventGap  = 5 * time.Millisecond
-	brokenOffShare  = 0.05
+	brokenOffShare  = 0.02
 	joinedDeadline  = 4 * time.Second
 	joinedServers   = 4
 	joinedFaulty    = 2
