httpanswer: Take no answer whose status HTTP does not know

What callers saw: on the own interface, a server's answer with the status 600 reached the caller; one with 000 or 099 ended the caller's connection without an answer, as the handler failed inside WriteHeader; a refusal with the status 000 was passed on as 503, "not run". On the users' platform the caller gets 502 without a seal: it was handled there.

Cause: net/http takes any three digits as a status. The check for it was part of platform/transport.go, and the clients that read answers through net/http had none.

Change: package httpanswer decides whether a head is one. A malformed answer is no sign of a crash. Nothing that such an answer says beside is believed, so a request that may have run is not reported as not run.

--- a/internal/backend/client.go
+++ b/internal/backend/client.go
@@ -15,6 +15,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/basilrail/basilrail/internal/datastore"
+	"github.com/basilrail/basilrail/internal/httpanswer"
 	"github.com/basilrail/basilrail/internal/tracing"
 )
 
@@ -51,7 +52,7 @@
 func NewClient(transport http.RoundTripper, maxAnswerBytes int64) *Client {
 	return &Client{
 		http: &http.Client{
-			Transport: transport,
+			Transport: httpanswer.NewTransport(transport),
 			// A redirect would send the request a second time.
 			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 		},
@@ -116,8 +117,8 @@
 	if !sent {
 		return &Error{Outcome: NotSent, Server: server, cause: err}
 	}
-	// An attempt cancelled on this side doesn't indicate a server crash.
-	crashed := ctx.Err() == nil
+	// Neither an attempt cancelled on this side nor a malformed answer indicates a server crash.
+	crashed := ctx.Err() == nil && !errors.Is(err, httpanswer.ErrMalformed)
 	return &Error{Outcome: OutcomeUnknown, Server: server, Crashed: crashed, cause: err}
 }
 
--- a/internal/modelcommands/issuer.go
+++ b/internal/modelcommands/issuer.go
@@ -20,6 +20,7 @@
 
 	"github.com/basilrail/basilrail/internal/datastore"
 	"github.com/basilrail/basilrail/internal/events"
+	"github.com/basilrail/basilrail/internal/httpanswer"
 	"github.com/basilrail/basilrail/internal/tablestore"
 	"github.com/basilrail/basilrail/internal/wait"
 )
@@ -78,7 +79,7 @@
 func New(o Options) *Issuer {
 	return &Issuer{
 		store:        o.Store,
-		client:       o.Client,
+		client:       httpanswer.NewClient(o.Client),
 		logger:       o.Logger,
 		lease:        NewLease(o.Table, o.Self, o.Rand.Uint64()),
 		fleetSize:    o.FleetSize,
--- a/internal/rating/rating.go
+++ b/internal/rating/rating.go
@@ -16,6 +16,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/basilrail/basilrail/internal/gateway"
+	"github.com/basilrail/basilrail/internal/httpanswer"
 )
 
 const (
@@ -49,7 +50,7 @@
 // New returns a client of the service at baseURL. With an empty URL every rating is
 // unavailable.
 func New(client *http.Client, baseURL string) *Client {
-	return &Client{http: client, url: baseURL, slots: make(chan struct{}, maxInFlight)}
+	return &Client{http: httpanswer.NewClient(client), url: baseURL, slots: make(chan struct{}, maxInFlight)}
 }
 
 // request is the request body of POST /rate.
--- a/internal/serverwatch/watcher.go
+++ b/internal/serverwatch/watcher.go
@@ -20,6 +20,7 @@
 
 	"github.com/basilrail/basilrail/internal/datastore"
 	"github.com/basilrail/basilrail/internal/events"
+	"github.com/basilrail/basilrail/internal/httpanswer"
 	"github.com/basilrail/basilrail/internal/peers"
 	"github.com/basilrail/basilrail/internal/statechart"
 	"github.com/basilrail/basilrail/internal/tablestore"
@@ -105,7 +106,7 @@
 func New(o Options) *Watcher {
 	w := &Watcher{
 		store:   o.Store,
-		client:  o.Client,
+		client:  httpanswer.NewClient(o.Client),
 		bus:     o.Bus,
 		chart:   o.Chart,
 		logger:  o.Logger,
--- a/internal/tablestore/httptable/client.go
+++ b/internal/tablestore/httptable/client.go
@@ -14,6 +14,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/basilrail/basilrail/internal/httpanswer"
 	"github.com/basilrail/basilrail/internal/tablestore"
 )
 
@@ -42,7 +43,7 @@
 	if timeout <= 0 {
 		timeout = DefaultTimeout
 	}
-	return &Client{http: client, base: strings.TrimRight(baseURL, "/"), timeout: timeout}
+	return &Client{http: httpanswer.NewClient(client), base: strings.TrimRight(baseURL, "/"), timeout: timeout}
 }
 
 // Commit writes a transaction.
