httpanswer: Take no answer with an invalid field name

What callers saw: a server's answer in whose head a field name held a blank reached them as 200 with the server's seal, without that line (net/http drops it when it writes) or, if the line was "Content-Length : 2" or "Transfer-Encoding : chunked", with all bytes up to the end of the connection, chunk sizes included, as the body. The same held for failures, event streams, interim and stale responses and trailers, and on the own interface. A refusal with such a line was believed: a request that may have run was reported as not run, or sent to another server.

Cause: textproto accepts blanks in field names and keeps such a line under its odd name. So "Content-Length : 2" does not frame the body, which then is read to the end of the connection.

Change: httpanswer checks the names and values of the fields of final, stale and interim heads and, at the end of a body, of the trailer, with the grammar of golang.org/x/net/http/httpguts. The operators' tool and the mesh read answers through it, too. What a malformed answer says beside (not run, leaving, limits, Retry-After, the era of the store) is not used, as it comes before the head is believed.

--- a/internal/ctl/cli.go
+++ b/internal/ctl/cli.go
@@ -19,6 +19,7 @@
 
 	"github.com/basilrail/basilrail/internal/apierror"
 	"github.com/basilrail/basilrail/internal/findings"
+	"github.com/basilrail/basilrail/internal/httpanswer"
 )
 
 // Exit codes of the tool.
@@ -140,7 +141,7 @@
 	}
 	return command.Run(&run{
 		ctx:      ctx,
-		client:   &client{entries: c.Entries, key: c.Key, http: &http.Client{Transport: transport}},
+		client:   &client{entries: c.Entries, key: c.Key, http: httpanswer.NewClient(&http.Client{Transport: transport})},
 		printer:  printer{out: out, json: c.Output == outputJSON},
 		warnings: errOut,
 	})
--- a/internal/ctl/ctl_test.go
+++ b/internal/ctl/ctl_test.go
@@ -22,6 +22,7 @@
 	"github.com/basilrail/basilrail/internal/configsync"
 	"github.com/basilrail/basilrail/internal/peers/membus"
 	"github.com/basilrail/basilrail/internal/settings"
+	"github.com/basilrail/basilrail/internal/standin/rawanswer"
 	"github.com/basilrail/basilrail/internal/tablestore/memtable"
 )
 
@@ -192,6 +193,24 @@
 	assert.Equal(t, "change c1 had been committed as revision 1\n", out)
 }
 
+// TestMalformedAnswerIsNoResult guards against a change that is reported as committed, or as
+// refused, on the word of a malformed answer.
+func TestMalformedAnswerIsNoResult(t *testing.T) {
+	for _, head := range []string{"HTTP/1.1 000 OK\r\n", "HTTP/1.1 200 OK\r\nX Odd: 1\r\n", "HTTP/1.1 409 Conflict\r\nX Odd: 1\r\n"} {
+		f := newFixture(t)
+		malformed := rawanswer.Handler(head + "\r\n{}")
+		f.entries = []string{f.serve(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if r.Method == http.MethodGet {
+				f.handlers[0].ServeHTTP(w, r)
+				return
+			}
+			malformed(w, r)
+		}))}
+		_, errOut := f.run(ExitUnknown, "--timeout", "300ms", "apply", f.dir, "--change-id", "c1")
+		assert.Contains(t, errOut, "run the same command again with --change-id c1", "%q", head)
+	}
+}
+
 func TestUnknownOutcome(t *testing.T) {
 	f := newFixture(t)
 	f.entries = []string{f.serve(droppingResponses(f.handlers[0]))}
--- a/internal/entry/brokenanswer_test.go
+++ b/internal/entry/brokenanswer_test.go
@@ -1,9 +1,7 @@
 package entry
 
 import (
-	"io"
 	"net/http"
-	"strings"
 	"testing"
 	"time"
 
@@ -15,11 +13,9 @@
 	"github.com/basilrail/basilrail/internal/bubble"
 	"github.com/basilrail/basilrail/internal/gateway"
 	"github.com/basilrail/basilrail/internal/settings"
+	"github.com/basilrail/basilrail/internal/standin/rawanswer"
 )
 
-// attemptMark stands for the attempt's id in the text of a raw answer.
-const attemptMark = "ATTEMPT"
-
 // startRawServices starts a server for each one of a service in the settings. It answers with a
 // text, byte by byte as it is, and closes the connection.
 func (f *fleet) startRawServices(docs []settings.Document, text string) {
@@ -30,17 +26,11 @@
 			continue
 		}
 		f.serve(server.Address, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-			attempt := r.Header.Get(backend.HeaderAttemptID)
-			if attempt == "" {
+			if r.Header.Get(backend.HeaderAttemptID) == "" {
 				http.NotFound(w, r)
 				return
 			}
-			conn, _, err := w.(http.Hijacker).Hijack()
-			if err != nil {
-				return
-			}
-			defer conn.Close()
-			_, _ = io.WriteString(conn, strings.ReplaceAll(text, attemptMark, attempt))
+			rawanswer.Handler(text, backend.HeaderAttemptID)(w, r)
 		}))
 	}
 }
@@ -48,7 +38,8 @@
 // TestBrokenHeadsOfServicesDoNotReachCallers guards against a success, or a promise that the
 // request did not run, that the caller gets although the server sent no valid head.
 func TestBrokenHeadsOfServicesDoNotReachCallers(t *testing.T) {
-	const id, body = backend.HeaderAttemptID + ": " + attemptMark + "\r\n", "Content-Length: 2\r\n\r\nok"
+	const body = "Content-Length: 2\r\n\r\nok"
+	id := backend.HeaderAttemptID + ": " + rawanswer.Echo(backend.HeaderAttemptID) + "\r\n"
 	for name, c := range map[string]struct {
 		text   string
 		status int
@@ -58,6 +49,12 @@
 		"status below 100":         {"HTTP/1.1 099 OK\r\n" + id + body, http.StatusBadGateway},
 		"status above 599":         {"HTTP/1.1 600 OK\r\n" + id + body, http.StatusBadGateway},
 		"status of zeros, refusal": {"HTTP/1.1 000 No\r\n" + id + backend.HeaderNotRun + ": true\r\n" + body, http.StatusBadGateway},
+		"blank in a name":          {"HTTP/1.1 200 OK\r\n" + id + "X Odd: 1\r\n" + body, http.StatusBadGateway},
+		"blank after a name":       {"HTTP/1.1 200 OK\r\n" + id + "Content-Length : 2\r\n\r\nok, not this", http.StatusBadGateway},
+		"chunks, blank":            {"HTTP/1.1 200 OK\r\n" + id + "Transfer-Encoding : chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n", http.StatusBadGateway},
+		"control byte in a name":   {"HTTP/1.1 200 OK\r\n" + id + "X\x01Odd: 1\r\n" + body, http.StatusBadGateway},
+		"blank in a name, failure": {"HTTP/1.1 500 Failed\r\n" + id + "X Odd: 1\r\n" + body, http.StatusBadGateway},
+		"blank in a name, refusal": {"HTTP/1.1 503 Full\r\n" + id + backend.HeaderNotRun + ": true\r\nX Odd: 1\r\n" + body, http.StatusBadGateway},
 	} {
 		t.Run(name, func(t *testing.T) {
 			bubble.Test(t, func(t *testing.T) {
--- a/internal/httpanswer/head.go
+++ b/internal/httpanswer/head.go
@@ -4,11 +4,13 @@
 package httpanswer
 
 import (
+	"io"
 	"net/http"
 	"regexp"
 	"slices"
 
 	"github.com/pkg/errors"
+	"golang.org/x/net/http/httpguts"
 )
 
 // ErrMalformed means that the head of a response is none.
@@ -24,22 +26,58 @@
 func HasStatusLine(text []byte) bool { return statusLine.Match(text) }
 
 // CheckHead returns an error that wraps ErrMalformed for a head that net/http accepts although
-// HTTP/1.1 does not allow it.
+// HTTP/1.1 does not allow it. A trailer that is malformed becomes the error at the end of the body.
 func CheckHead(r *http.Response) error {
 	switch {
 	case r.StatusCode < http.StatusContinue, r.StatusCode > maxStatus:
 		return errors.WithMessagef(ErrMalformed, "status %q", r.Status)
 	case r.StatusCode == http.StatusSwitchingProtocols && !asksToSwitch(r.Request):
 		return errors.WithMessage(ErrMalformed, "the protocol is switched without being asked for")
+	case !httpguts.ValidHeaderFieldValue(r.Status):
+		return errors.WithMessagef(ErrMalformed, "status %q", r.Status)
 	case statusLine.MatchString(r.Status):
 		return errors.WithMessagef(ErrMalformed, "another response begins in the status %q", r.Status)
 	}
-	for name, values := range r.Header {
-		if slices.ContainsFunc(values, statusLine.MatchString) {
+	if err := checkFields(r.Header); err != nil {
+		return err
+	}
+	if slices.Contains(r.TransferEncoding, "chunked") {
+		r.Body = &trailedBody{ReadCloser: r.Body, response: r}
+	}
+	return nil
+}
+
+// checkFields returns an error for fields of a head or a trailer of which one is none. A name with
+// a blank, which net/http accepts, may be one that frames the body: then the body is not the server's.
+func checkFields(fields http.Header) error {
+	for name, values := range fields {
+		switch {
+		case !httpguts.ValidHeaderFieldName(name):
+			return errors.WithMessagef(ErrMalformed, "field name %q", name)
+		case slices.ContainsFunc(values, func(value string) bool { return !httpguts.ValidHeaderFieldValue(value) }):
+			return errors.WithMessagef(ErrMalformed, "value of the field %q", name)
+		case slices.ContainsFunc(values, statusLine.MatchString):
 			return errors.WithMessagef(ErrMalformed, "another response begins in the field %q", name)
 		}
 	}
 	return nil
 }
 
+// trailedBody is a body after which a trailer may follow.
+type trailedBody struct {
+	io.ReadCloser
+	response *http.Response
+}
+
+// Read implements io.Reader.
+func (b *trailedBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if err == io.EOF {
+		if malformed := checkFields(b.response.Trailer); malformed != nil {
+			return n, malformed
+		}
+	}
+	return n, err
+}
+
 func asksToSwitch(r *http.Request) bool { return r != nil && r.Header.Get("Upgrade") != "" }
--- a/internal/httpanswer/transport.go
+++ b/internal/httpanswer/transport.go
@@ -1,6 +1,15 @@
 package httpanswer
 
-import "net/http"
+import (
+	"net/http"
+	"net/http/httptrace"
+	"net/textproto"
+
+	"github.com/pkg/errors"
+)
+
+// maxInterim is the maximum number of interim responses before a response.
+const maxInterim = 5
 
 // Transport is an http.RoundTripper that returns an error for a response which is no answer.
 type Transport struct{ base http.RoundTripper }
@@ -27,7 +36,17 @@
 // RoundTrip implements http.RoundTripper. The error of a response that is no answer wraps
 // ErrMalformed.
 func (t *Transport) RoundTrip(req *http.Request) (*http.Response, error) {
-	response, err := t.base.RoundTrip(req)
+	interim := 0
+	ctx := httptrace.WithClientTrace(req.Context(), &httptrace.ClientTrace{
+		Got1xxResponse: func(_ int, fields textproto.MIMEHeader) error {
+			// Package net/http does not limit them if there is a hook.
+			if interim++; interim > maxInterim {
+				return errors.WithMessagef(ErrMalformed, "%d interim responses", interim)
+			}
+			return checkFields(http.Header(fields))
+		},
+	})
+	response, err := t.base.RoundTrip(req.WithContext(ctx))
 	if err != nil {
 		return nil, err
 	}
--- a/internal/peers/mesh/mesh.go
+++ b/internal/peers/mesh/mesh.go
@@ -20,6 +20,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/basilrail/basilrail/internal/events"
+	"github.com/basilrail/basilrail/internal/httpanswer"
 	"github.com/basilrail/basilrail/internal/peers"
 )
 
@@ -105,7 +106,7 @@
 	if cfg.TLS != nil {
 		m.scheme = "wss"
 	}
-	m.client = &http.Client{Transport: &http.Transport{DialContext: cfg.Dial, TLSClientConfig: cfg.TLS}}
+	m.client = httpanswer.NewClient(&http.Client{Transport: &http.Transport{DialContext: cfg.Dial, TLSClientConfig: cfg.TLS}})
 	// The sequence numbers of a restarted instance must be above its earlier ones.
 	m.sequence.Store(uint64(time.Now().UnixNano()))
 	return m
--- a/internal/rating/rating_test.go
+++ b/internal/rating/rating_test.go
@@ -11,6 +11,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/basilrail/basilrail/internal/gateway"
+	"github.com/basilrail/basilrail/internal/standin/rawanswer"
 )
 
 func TestRate(t *testing.T) {
@@ -45,6 +46,19 @@
 	}
 }
 
+// TestMalformedAnswerIsNoRating guards against ratings read from a malformed answer.
+func TestMalformedAnswerIsNoRating(t *testing.T) {
+	for _, text := range []string{
+		"HTTP/1.1 200 OK\r\nX Odd: 1\r\n\r\n{\"score\":1}", "HTTP/1.1 200 OK\r\nContent-Length : 3\r\n\r\n{\"score\":1}", "HTTP/1.1 000 OK\r\n\r\n{\"score\":1}",
+		"HTTP/1.1 200 OK\r\n\r\n{\"score\":1",
+	} {
+		server := httptest.NewServer(rawanswer.Handler(text))
+		_, err := New(&http.Client{}, server.URL).Rate(t.Context(), gateway.Rating{})
+		assert.ErrorIs(t, err, ErrUnavailable, "%q", text)
+		server.Close()
+	}
+}
+
 func TestFailingServiceGetsNoMoreCalls(t *testing.T) {
 	var calls atomic.Int32
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
