httpanswer: An answer that ends before its request was written is not whole

What callers saw: a server answered a long upload at once with a 200 that had no length, sent part of its body, and reset the connection while the upload was still being written. The caller got that part as a complete answer, an event stream too, directly, through a relay and on the own interface.

Cause: a socket reports a reset once. A write in progress takes the error; the read that follows gets the same end as after a proper close. The transport of the platform read the result of the write only to decide whether to keep the connection, net/http has no hook between the two, and in a relay a read and a write each ran to its own end.

Change: httpanswer.Conn sees the reads and the writes of a connection. It reports an end that follows bytes of an answer only once the request was written, and an error if a write failed. The error and the end may be noticed in either order, so a read waits for a write in progress; TestEndOfAnAnswerWaitsForTheRequest plays both orders without a network. The transport of the platform, the relay and, through httpanswer.Transport, the clients of net/http use it. The near end of a relayed connection marks the begin and the end of its request by empty messages, which earlier releases ignore; a relay closes the stream normally only after it has written the request to its end. A failed write no longer ends the stream as one whose relay was lost: the relay reports that the server was.

Answers with a length or chunks need no end of the connection and wait for nothing. A server that ends its side and reads on passes, now also with its whole upload through a relay. One that ends its side and stops reading is not known to be whole: the deadline ends the attempt. A refusal is known at its head, so that its body is not waited for if only the connection ends it.

--- a/internal/entry/build.go
+++ b/internal/entry/build.go
@@ -16,6 +16,7 @@
 	"github.com/basilrail/basilrail/internal/explain"
 	"github.com/basilrail/basilrail/internal/flowcontrol"
 	"github.com/basilrail/basilrail/internal/gateway"
+	"github.com/basilrail/basilrail/internal/httpanswer"
 	"github.com/basilrail/basilrail/internal/membership"
 	"github.com/basilrail/basilrail/internal/metrics"
 	"github.com/basilrail/basilrail/internal/modelcommands"
@@ -33,6 +34,7 @@
 	"github.com/basilrail/basilrail/internal/tablestore/commitrelay"
 	"github.com/basilrail/basilrail/internal/tablestore/groupcommit"
 	"github.com/basilrail/basilrail/internal/tablestore/httptable"
+	"github.com/basilrail/basilrail/internal/tlsreload"
 )
 
 const (
@@ -74,15 +76,16 @@
 	return i, nil
 }
 
-// transport returns a new HTTP transport that connects with Options.Dial. Run
-// closes its idle connections at the end.
-func (i *Instance) transport() *http.Transport {
-	transport := &http.Transport{
+// transport returns a new HTTP transport that connects with Options.Dial, for TLS with
+// dialTLS unless that is nil. Run closes its idle connections at the end.
+func (i *Instance) transport(dialTLS tlsreload.DialFunc) *httpanswer.Transport {
+	transport := httpanswer.NewTransport(&http.Transport{
 		DialContext:         i.opts.Dial,
+		DialTLSContext:      dialTLS,
 		MaxIdleConnsPerHost: idleConnsPerServer,
 		IdleConnTimeout:     idleConnTimeout,
 		DisableCompression:  true,
-	}
+	})
 	i.transports = append(i.transports, transport)
 	return transport
 }
@@ -231,7 +234,7 @@
 		Servers:       i.watcher,
 		Claims:        i.claims,
 		Bills:         i.ledger,
-		Rater:         rating.New(&http.Client{Transport: i.transport()}, i.ratingURL()),
+		Rater:         rating.New(&http.Client{Transport: i.transport(nil)}, i.ratingURL()),
 		Charts:        i.charts,
 		Records:       countingRecordSink{metrics: i.metrics, next: i.explain},
 		Log:           i.log,
--- a/internal/entry/instance.go
+++ b/internal/entry/instance.go
@@ -20,6 +20,7 @@
 	"github.com/basilrail/basilrail/internal/explain"
 	"github.com/basilrail/basilrail/internal/flowcontrol"
 	"github.com/basilrail/basilrail/internal/gateway"
+	"github.com/basilrail/basilrail/internal/httpanswer"
 	"github.com/basilrail/basilrail/internal/membership"
 	"github.com/basilrail/basilrail/internal/metrics"
 	"github.com/basilrail/basilrail/internal/modelcommands"
@@ -82,7 +83,7 @@
 	// serverTransport carries all calls to backend servers.
 	serverTransport http.RoundTripper
 	servers         []*http.Server
-	transports      []*http.Transport
+	transports      []*httpanswer.Transport
 	loops           sync.WaitGroup
 	// aborted is closed by abort.
 	aborted chan struct{}
--- a/internal/entry/tls.go
+++ b/internal/entry/tls.go
@@ -8,6 +8,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/basilrail/basilrail/internal/events"
+	"github.com/basilrail/basilrail/internal/httpanswer"
 	"github.com/basilrail/basilrail/internal/staticconfig"
 	"github.com/basilrail/basilrail/internal/tlsreload"
 )
@@ -29,14 +30,15 @@
 
 // clientTransport returns a transport that verifies servers by the configured files
 // and presents the configured certificate; without files it is a plain one.
-func (i *Instance) clientTransport(c staticconfig.ClientTLS) (*http.Transport, error) {
-	transport := i.transport()
+func (i *Instance) clientTransport(c staticconfig.ClientTLS) (*httpanswer.Transport, error) {
 	reloader, err := i.reloader(tlsreload.Files{Cert: c.Cert.Value, Key: c.Key.Value, CA: c.CA.Value})
-	if err != nil || reloader == nil {
-		return transport, err
+	if err != nil {
+		return nil, err
+	}
+	if reloader == nil {
+		return i.transport(nil), nil
 	}
-	transport.DialTLSContext = reloader.Dialer(i.opts.Dial)
-	return transport, nil
+	return i.transport(reloader.Dialer(i.opts.Dial)), nil
 }
 
 // listen opens a listener, with TLS if a certificate is configured.
--- a/internal/httpanswer/head.go
+++ b/internal/httpanswer/head.go
@@ -41,7 +41,7 @@
 	if err := checkFields(r.Header); err != nil {
 		return err
 	}
-	if slices.Contains(r.TransferEncoding, "chunked") {
+	if slices.Contains(r.TransferEncoding, "chunked") && r.Body != http.NoBody {
 		r.Body = &trailedBody{ReadCloser: r.Body, response: r}
 	}
 	return nil
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -2,8 +2,9 @@
 // that reaches no server by itself.
 //
 // A relay passes bytes on and decides nothing: the instance that has the caller chooses the
-// server, counts the request against limits and budgets, and judges the answer. A relay only
-// connects over its own links, so that streams can't form loops.
+// server, counts the request against limits and budgets, and judges the answer. The relay reports
+// how the server's connection ended. It only connects over its own links, so that streams can't
+// form loops.
 package relay
 
 import (
@@ -14,6 +15,8 @@
 	"github.com/coder/websocket"
 	"github.com/fxamacker/cbor/v2"
 	"github.com/pkg/errors"
+
+	"github.com/basilrail/basilrail/internal/httpanswer"
 )
 
 // Errors of a stream that could not be opened; nothing was sent to the server.
@@ -97,7 +100,9 @@
 	return errors.WithMessage(ErrUnavailable, m.Reason)
 }
 
-// conn is the near end of a stream.
+// conn is the near end of a stream. Empty messages to the relay mark the begin and the end of a
+// request: the end of the server's connection is the end of a whole answer only if the relay has
+// written the request to its end. Relays of earlier releases ignore the marks.
 type conn struct {
 	net.Conn
 	ws *websocket.Conn
@@ -140,6 +145,14 @@
 	return errors.WithMessage(ErrRelayLost, err.Error())
 }
 
+var _ httpanswer.RequestMarker = (*conn)(nil)
+
+// MarkRequest implements httpanswer.RequestMarker.
+func (c *conn) MarkRequest() {
+	// If the mark can't be sent, the stream has ended, and Read returns how.
+	_, _ = c.Conn.Write(nil)
+}
+
 // Write implements net.Conn.
 func (c *conn) Write(p []byte) (int, error) {
 	written := 0
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -10,6 +10,8 @@
 	"github.com/coder/websocket"
 	"github.com/fxamacker/cbor/v2"
 	"github.com/pkg/errors"
+
+	"github.com/basilrail/basilrail/internal/httpanswer"
 )
 
 // maxStreams bounds the streams that an instance carries for others.
@@ -119,15 +121,16 @@
 	if answer(ctx, ws, opened{Outcome: outcomeOpen}) != nil {
 		return
 	}
+	checked := httpanswer.NewConn(target)
 	gone := make(chan struct{})
 	go func() {
-		// Whatever ends the near end also ends the work of the server.
-		defer target.Close()
+		// The end of the near end also ends the work of the server.
+		defer checked.Close()
 		defer close(gone)
-		forward(ctx, target, ws)
+		forward(ctx, checked, ws)
 	}()
-	status, isOver := s.backward(ctx, server, ws, target, gone)
-	_ = target.Close()
+	status, isOver := s.backward(ctx, server, ws, checked, gone)
+	_ = checked.Close()
 	if isOver {
 		// The peer may be gone already.
 		_ = ws.Close(status, "")
@@ -154,19 +157,46 @@
 	return ws.Write(ctx, websocket.MessageBinary, body)
 }
 
-// forward copies the bytes of the peer to the server until either ends.
-func forward(ctx context.Context, target net.Conn, ws *websocket.Conn) {
+// forward copies the bytes of the peer to the server until the peer ends the stream. An empty
+// message marks the begin of the request, the next one its end; peers of earlier releases send none.
+func forward(ctx context.Context, target *httpanswer.Conn, ws *websocket.Conn) {
+	request := requestWriter{target: target}
+	hasBegun := false
 	for {
 		_, message, err := ws.Reader(ctx)
 		if err != nil {
 			return
 		}
-		if _, err := io.Copy(target, message); err != nil {
+		n, err := io.Copy(&request, message)
+		switch {
+		case err != nil:
 			return
+		case n > 0:
+		case hasBegun:
+			target.EndRequest(nil)
+		default:
+			hasBegun = true
+			target.BeginRequest()
 		}
 	}
 }
 
+// requestWriter writes a request to a server, and drops what follows a failed write: the server may
+// have answered before it has read the request to its end. The connection notes the failure.
+type requestWriter struct {
+	target *httpanswer.Conn
+	failed bool
+}
+
+// Write implements io.Writer. It never fails.
+func (w *requestWriter) Write(p []byte) (int, error) {
+	if !w.failed {
+		_, err := w.target.Write(p)
+		w.failed = err != nil
+	}
+	return len(p), nil
+}
+
 // backward copies the bytes of the server to the peer until either ends. It returns how to close
 // the stream; isOver is false if the peer has ended it.
 func (s *Server) backward(ctx context.Context, server string, ws *websocket.Conn, target net.Conn, gone <-chan struct{}) (status websocket.StatusCode, isOver bool) {
--- a/internal/serverpath/relays.go
+++ b/internal/serverpath/relays.go
@@ -13,6 +13,7 @@
 
 	"github.com/basilrail/basilrail/internal/events"
 	"github.com/basilrail/basilrail/internal/fleet"
+	"github.com/basilrail/basilrail/internal/httpanswer"
 	"github.com/basilrail/basilrail/internal/peers"
 	"github.com/basilrail/basilrail/internal/relay"
 	"github.com/basilrail/basilrail/internal/statechart"
@@ -242,6 +243,9 @@
 	ended func()
 }
 
+// MarkRequest implements httpanswer.RequestMarker.
+func (c *relayedConn) MarkRequest() { httpanswer.MarkRequest(c.Conn) }
+
 // Close implements net.Conn.
 func (c *relayedConn) Close() error {
 	c.ended()
