--- a/internal/httpanswer/conn.go
+++ b/internal/httpanswer/conn.go
@@ -35,7 +35,8 @@
 	// hasAnswer is set if bytes were read since the request began; for the first one, since the
 	// connection was made.
 	hasAnswer bool
-	isClosed  bool
+	// hasEnded is set once the end of the connection was read, isClosed by Close.
+	hasEnded, isClosed bool
 }
 
 // NewConn returns a Conn over a connection.
@@ -74,6 +75,14 @@
 	return !c.isOpen && c.writes == 0 && c.failure == nil
 }
 
+// HasEnded reports whether the end of the connection was read. A Read may still wait for the
+// request to be written.
+func (c *Conn) HasEnded() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.hasEnded
+}
+
 // fail notes the error of a write; nil for none. The caller holds the lock.
 func (c *Conn) fail(err error) {
 	if c.failure == nil {
@@ -104,6 +113,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.hasAnswer = c.hasAnswer || n > 0
+	c.hasEnded = c.hasEnded || err == io.EOF
 	if err != io.EOF || !c.hasAnswer {
 		return n, err
 	}
