relay: End a stream whose peer has left while the server reads nothing

What operators would see: a server stops reading a long upload that comes through a relay, and the caller's deadline passes. The near end closes the stream, but the relay keeps it, its goroutines and the connection to the server until the server closes. Streams of a relay are bounded (256), so such a server would fill them.

Cause: while a write to the server waits, the relay reads nothing from the near end and so does not notice that it closed. This was so before for servers that send nothing.

Change: while a write to the server is in progress, the relay sends the near end an empty message every 500 ms. One to a closed stream fails, or makes the next one fail; then the server's connection is closed.

--- a/internal/httpanswer/conn.go
+++ b/internal/httpanswer/conn.go
@@ -75,6 +75,13 @@
 	return !c.isOpen && c.writes == 0 && c.failure == nil
 }
 
+// IsWriting reports whether a write is in progress.
+func (c *Conn) IsWriting() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.writes > 0
+}
+
 // HasEnded reports whether the end of the connection was read. A Read may still wait for the
 // request to be written.
 func (c *Conn) HasEnded() bool {
--- a/internal/relay/earlyend_test.go
+++ b/internal/relay/earlyend_test.go
@@ -144,3 +144,41 @@
 		<-r.conns
 	}
 }
+
+// TestPeerThatLeavesWhileTheServerReadsNothingEndsTheStream guards against streams of a relay, and
+// connections to servers, that stay open after the near end has closed: the relay reads nothing from
+// the near end while the write of the request waits for the server.
+func TestPeerThatLeavesWhileTheServerReadsNothingEndsTheStream(t *testing.T) {
+	for name, answer := range map[string]func(server *net.TCPConn){
+		"no answer": func(*net.TCPConn) {},
+		"the server has ended its side": func(server *net.TCPConn) {
+			_, _ = io.WriteString(server, "part of")
+			_ = server.CloseWrite()
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			stalled, done := make(chan struct{}), make(chan struct{})
+			t.Cleanup(func() { close(done) })
+			r := newTestRelay(t, func(server *net.TCPConn) {
+				_, _ = io.ReadFull(server, make([]byte, 1000))
+				answer(server)
+				close(stalled)
+				<-done
+			})
+			stream := httpanswer.NewConn(r.dial(t))
+			stream.BeginRequest()
+			written := make(chan error, 1)
+			go func() {
+				_, err := stream.Write(make([]byte, 64<<20))
+				stream.EndRequest(err)
+				written <- err
+			}()
+			<-stalled
+			// The buffers on the way fill up.
+			time.Sleep(200 * time.Millisecond)
+			require.NoError(t, stream.Close())
+			assert.Error(t, <-written)
+			assert.Eventually(t, func() bool { return r.server.Open() == 0 }, 5*time.Second, 10*time.Millisecond, "the relay still carries the stream")
+		})
+	}
+}
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -17,6 +17,9 @@
 // maxStreams bounds the streams that an instance carries for others.
 const maxStreams = 256
 
+// probeInterval is how often a stream is probed while a write to its server is in progress.
+const probeInterval = 500 * time.Millisecond
+
 // Links are the links of the relay to the backend servers.
 type Links interface {
 	// DialServer connects to the server with an id. The error wraps ErrServerUnreachable if
@@ -122,21 +125,28 @@
 		return
 	}
 	checked := httpanswer.NewConn(target)
-	gone := make(chan struct{})
-	go func() {
+	peer, peerLeft := context.WithCancel(ctx)
+	var work sync.WaitGroup
+	work.Go(func() {
 		// The end of the near end also ends the work of the server.
 		defer checked.Close()
-		defer close(gone)
+		defer peerLeft()
 		forward(ctx, checked, ws)
-	}()
-	status, isOver := s.backward(ctx, server, ws, checked, gone)
+	})
+	work.Go(func() {
+		if err := probe(peer, checked, ws); err != nil {
+			peerLeft()
+			_ = checked.Close()
+		}
+	})
+	status, isOver := s.backward(ctx, server, ws, checked, peer.Done())
 	_ = checked.Close()
 	if isOver {
 		// The peer may be gone already.
 		_ = ws.Close(status, "")
 	}
 	_ = ws.CloseNow()
-	<-gone
+	work.Wait()
 }
 
 // refuse reports why a stream is not opened.
@@ -181,6 +191,28 @@
 	}
 }
 
+// probe returns an error if the peer has closed the stream while a write to the server is in
+// progress. Meanwhile forward reads nothing from the peer, and a server that does not read its
+// request would keep the stream open. Peers ignore empty messages; one to a peer that has closed
+// the stream fails, or makes the next one fail. It returns nil at the end of the stream.
+func probe(ctx context.Context, target *httpanswer.Conn, ws *websocket.Conn) error {
+	ticker := time.NewTicker(probeInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+		}
+		if !target.IsWriting() {
+			continue
+		}
+		if err := ws.Write(ctx, websocket.MessageBinary, nil); err != nil {
+			return err
+		}
+	}
+}
+
 // requestWriter writes a request to a server, and drops what follows a failed write: the server may
 // have answered before it has read the request to its end. The connection notes the failure.
 type requestWriter struct {
