--- a/internal/backend/earlyend_test.go
+++ b/internal/backend/earlyend_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"runtime"
 	"testing"
 	"time"
 
@@ -87,15 +88,18 @@
 }
 
 // TestAnswerWithoutLengthToAnUnreadRequestEndsAtTheDeadline guards against attempts that never end:
-// whether such an answer is whole is known only once the request was written.
+// whether such an answer is whole is known only once the request was written; and against
+// connections and goroutines that stay behind.
 func TestAnswerWithoutLengthToAnUnreadRequestEndsAtTheDeadline(t *testing.T) {
-	done := make(chan struct{})
-	t.Cleanup(func() { close(done) })
+	ended, closed := make(chan struct{}), make(chan struct{})
 	client, server := startUploadServer(t, func(c *net.TCPConn, r *http.Request) {
 		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%s: %s\r\n\r\nwhole", HeaderAttemptID, r.Header.Get(HeaderAttemptID))
 		_ = c.CloseWrite()
-		<-done
+		<-ended
+		_, _ = io.Copy(io.Discard, c)
+		close(closed)
 	})
+	before := runtime.NumGoroutine()
 	ctx, cancel := context.WithTimeout(t.Context(), 300*time.Millisecond)
 	defer cancel()
 	_, err := client.Do(ctx, Call{AttemptID: "me", Server: server, Method: http.MethodPost, Path: "/", Body: make([]byte, uploadBytes)})
@@ -103,4 +107,13 @@
 	require.ErrorAs(t, err, &failed)
 	assert.Equal(t, OutcomeUnknown, failed.Outcome)
 	assert.False(t, failed.Crashed)
+	close(ended)
+	select {
+	case <-closed:
+	case <-time.After(5 * time.Second):
+		assert.Fail(t, "the connection is still open")
+	}
+	for start := time.Now(); runtime.NumGoroutine() > before && time.Since(start) < 5*time.Second; time.Sleep(10 * time.Millisecond) {
+	}
+	assert.LessOrEqual(t, runtime.NumGoroutine(), before, "goroutines stay behind")
 }
