--- a/internal/backend/brokenhead_test.go
+++ b/internal/backend/brokenhead_test.go
@@ -105,6 +105,7 @@
 		"HTTP/1.0 200 OK\r\n" + attemptID + "Content-Length: 2\r\n\r\nok",
 		"HTTP/1.1 200 OK\r\n" + attemptID + "X!#$%&'*+-.^_`|~9: 1\r\nx-lower:\t\"caf\xe9\"\t\r\nX-Empty:\r\nContent-Length: 2\r\n\r\nok",
 		"HTTP/1.1 103 Early Hints\r\nLink: </x>\r\n\r\nHTTP/1.1 200 OK\r\n" + attemptID + "Content-Length: 2\r\n\r\nok",
+		"HTTP/1.1 200 OK\r\n" + attemptID + "X-Log: GET /x HTTP/1.1 200\r\nContent-Length: 2\r\n\r\nok",
 		"HTTP/1.1 599 Odd\r\n" + attemptID + "Content-Length: 2\r\n\r\nok",
 		"HTTP/1.1 200 OK\r\n" + attemptID + "Transfer-Encoding: chunked\r\nTrailer: X-End\r\n\r\n2\r\nok\r\n0\r\nX-End: 1\r\n\r\n",
 	} {
--- a/internal/httpanswer/head.go
+++ b/internal/httpanswer/head.go
@@ -6,7 +6,6 @@
 import (
 	"io"
 	"net/http"
-	"regexp"
 	"slices"
 
 	"github.com/pkg/errors"
@@ -19,12 +18,6 @@
 // maxStatus is the highest status of a response.
 const maxStatus = 599
 
-// statusLine matches the begin of a response. Within a head or a body it is that of another response.
-var statusLine = regexp.MustCompile(`HTTP/\d\.\d \d{3}`)
-
-// HasStatusLine reports whether a text contains the begin of a response.
-func HasStatusLine(text []byte) bool { return statusLine.Match(text) }
-
 // CheckHead returns an error that wraps ErrMalformed for a head that net/http accepts although
 // HTTP/1.1 does not allow it. A trailer that is malformed becomes the error at the end of the body.
 func CheckHead(r *http.Response) error {
@@ -35,8 +28,6 @@
 		return errors.WithMessage(ErrMalformed, "the protocol is switched without being asked for")
 	case !httpguts.ValidHeaderFieldValue(r.Status):
 		return errors.WithMessagef(ErrMalformed, "status %q", r.Status)
-	case statusLine.MatchString(r.Status):
-		return errors.WithMessagef(ErrMalformed, "another response begins in the status %q", r.Status)
 	}
 	if err := checkFields(r.Header); err != nil {
 		return err
@@ -56,8 +47,6 @@
 			return errors.WithMessagef(ErrMalformed, "field name %q", name)
 		case slices.ContainsFunc(values, func(value string) bool { return !httpguts.ValidHeaderFieldValue(value) }):
 			return errors.WithMessagef(ErrMalformed, "value of the field %q", name)
-		case slices.ContainsFunc(values, statusLine.MatchString):
-			return errors.WithMessagef(ErrMalformed, "another response begins in the field %q", name)
 		}
 	}
 	return nil
