--- a/internal/backend/brokenhead_test.go
+++ b/internal/backend/brokenhead_test.go
@@ -60,7 +60,7 @@
 		requireUnknown(t, "HTTP/1.1 200 OK\r\n"+attemptID+"Content-Type: text/event-stream\r\n"+line+"\r\n\r\n"+event)
 		requireUnknown(t, "HTTP/1.1 103 Early Hints\r\n"+line+"\r\n\r\nHTTP/1.1 200 OK\r\n"+attemptID+"Content-Length: 2\r\n\r\nok")
 	}
-	// A blank at the begin of a later line continues the line before.
+	// A blank at the start of a later line continues the line before.
 	requireUnknown(t, "HTTP/1.1 200 OK\r\n X-Odd: 1\r\n"+attemptID+"Content-Length: 2\r\n\r\nok")
 	requireUnknown(t, "HTTP/1.1 200 OK\r\n"+attemptID+"Content-Length : 2\r\n\r\nok, not this")
 	requireUnknown(t, "HTTP/1.1 200 OK\r\n"+attemptID+"Transfer-Encoding : chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n")
--- a/internal/httpanswer/conn.go
+++ b/internal/httpanswer/conn.go
@@ -12,21 +12,21 @@
 // written.
 var ErrRequestNotWritten = errors.New("the connection ended before the request was written")
 
-// Conn is a connection that carries one request at a time. It decides whether an answer that ends
-// with its connection is whole: only if the request was written to its end.
+// Conn is a connection that carries one request at a time. An answer that ends with its connection
+// is complete only if the request was written completely.
 //
-// A reset is reported to a socket once. The write of the request may take the error, and a read
-// then gets the same end as that of a connection that the server closed properly. So Read returns
-// an end that follows bytes of an answer only after the request was written, and else an error that
-// wraps ErrRequestNotWritten. It waits for a write in progress, as a server may end its side before
-// it has read the request to its end; if that write never ends, it waits until Close.
+// The kernel reports a reset only once. If the write of the request gets the error, the next read
+// returns io.EOF, as if the server had closed the connection properly. After bytes of an answer,
+// Read therefore returns io.EOF only once the request was written, and an error that wraps
+// ErrRequestNotWritten if that failed. It waits for a write in progress, as a server may close its
+// side before it has read the request completely; if the write never ends, it waits until Close.
 type Conn struct {
 	net.Conn
 
 	mu sync.Mutex
 	// changed wakes the readers that wait.
 	changed sync.Cond
-	// isOpen is set from the begin of a request to its end, hasBegun from the first begin on.
+	// isOpen is set from the start of a request to its end, hasBegun from the first start on.
 	isOpen, hasBegun bool
 	// writes is the number of writes in progress.
 	writes int
@@ -46,8 +46,8 @@
 	return conn
 }
 
-// BeginRequest marks the begin of a request. Without the marks of its begin and its end a request is
-// taken for written while no write is in progress.
+// BeginRequest marks the start of a request. Without these marks a request counts as written while
+// no write is in progress.
 func (c *Conn) BeginRequest() {
 	MarkRequest(c.Conn)
 	c.mu.Lock()
@@ -145,15 +145,15 @@
 	return c.Conn.Close()
 }
 
-// RequestMarker is a connection through a process that has to be told where a request begins and
-// ends, as it writes the request to the server.
+// RequestMarker is a connection through another process, which must know where a request starts and
+// ends.
 type RequestMarker interface {
-	// MarkRequest marks the begin of a request, or its end if it has begun. If the mark is lost,
-	// so is the connection.
+	// MarkRequest marks the start of a request, or its end if it has started. If it fails, the
+	// connection is lost, which Read reports.
 	MarkRequest()
 }
 
-// MarkRequest marks the begin or the end of a request on a connection that is a RequestMarker.
+// MarkRequest marks the start or the end of a request on a connection that is a RequestMarker.
 func MarkRequest(c net.Conn) {
 	if marker, ok := c.(RequestMarker); ok {
 		marker.MarkRequest()
--- a/internal/httpanswer/head.go
+++ b/internal/httpanswer/head.go
@@ -1,6 +1,6 @@
-// Package httpanswer decides whether the bytes of a server are an answer. Package net/http accepts
-// more than HTTP/1.1 allows; a server that sends such bytes is in trouble, and nothing that it says
-// beside them is believed: not that the request did not run, nor what it asks for itself.
+// Package httpanswer decides whether the answer of a server is valid and complete. Package net/http
+// accepts more than HTTP/1.1 allows. Nothing in a malformed head is trusted: not that the request
+// did not run, nor what the server asks for itself.
 package httpanswer
 
 import (
@@ -12,14 +12,15 @@
 	"golang.org/x/net/http/httpguts"
 )
 
-// ErrMalformed means that the head of a response is none.
-var ErrMalformed = errors.New("the head of the response is malformed")
+// ErrMalformed means that the head or the trailer of a response is not valid HTTP/1.1.
+var ErrMalformed = errors.New("the response is malformed")
 
 // maxStatus is the highest status of a response.
 const maxStatus = 599
 
 // CheckHead returns an error that wraps ErrMalformed for a head that net/http accepts although
-// HTTP/1.1 does not allow it. A trailer that is malformed becomes the error at the end of the body.
+// HTTP/1.1 does not allow it. It replaces a chunked body by one that returns such an error at its
+// end if the trailer is malformed.
 func CheckHead(r *http.Response) error {
 	switch {
 	case r.StatusCode < http.StatusContinue, r.StatusCode > maxStatus:
@@ -38,8 +39,8 @@
 	return nil
 }
 
-// checkFields returns an error for fields of a head or a trailer of which one is none. A name with
-// a blank, which net/http accepts, may be one that frames the body: then the body is not the server's.
+// checkFields returns an error if a field of a head or a trailer is invalid. Package net/http accepts
+// names with blanks and ignores what they say, also if the field is the length of the body.
 func checkFields(fields http.Header) error {
 	for name, values := range fields {
 		switch {
@@ -52,7 +53,7 @@
 	return nil
 }
 
-// trailedBody is a body after which a trailer may follow.
+// trailedBody is a chunked body, whose trailer it checks.
 type trailedBody struct {
 	io.ReadCloser
 	response *http.Response
--- a/internal/httpanswer/transport.go
+++ b/internal/httpanswer/transport.go
@@ -14,8 +14,8 @@
 // maxInterim is the maximum number of interim responses before a response.
 const maxInterim = 5
 
-// Transport is an http.RoundTripper that returns an error for a response which is no answer. Over
-// an *http.Transport, the body of an answer that ends with its connection fails if it is not whole.
+// Transport is an http.RoundTripper that returns an error for a malformed response. Over an
+// *http.Transport, reading a body that ends with its connection fails if the body is incomplete.
 type Transport struct{ base http.RoundTripper }
 
 // NewTransport returns a Transport over another one; nil is http.DefaultTransport. A *Transport is
@@ -66,8 +66,7 @@
 	}
 }
 
-// RoundTrip implements http.RoundTripper. The error of a response that is no answer wraps
-// ErrMalformed.
+// RoundTrip implements http.RoundTripper. The error of a malformed response wraps ErrMalformed.
 func (t *Transport) RoundTrip(req *http.Request) (*http.Response, error) {
 	response, err := t.base.RoundTrip(req.WithContext(httptrace.WithClientTrace(req.Context(), newTrace())))
 	if err != nil {
@@ -80,7 +79,7 @@
 	return response, nil
 }
 
-// newTrace returns the hooks of a request: they check interim responses, and mark the begin and the
+// newTrace returns the hooks of a request: they check interim responses, and mark the start and the
 // end of the request on its connection.
 func newTrace() *httptrace.ClientTrace {
 	var conn atomic.Pointer[Conn]
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -100,9 +100,9 @@
 	return errors.WithMessage(ErrUnavailable, m.Reason)
 }
 
-// conn is the near end of a stream. Empty messages to the relay mark the begin and the end of a
-// request: the end of the server's connection is the end of a whole answer only if the relay has
-// written the request to its end. Relays of earlier releases ignore the marks.
+// conn is the near end of a stream. Empty messages to the relay mark the start and the end of a
+// request: an answer that ends with the server's connection is complete only if the relay has
+// written the whole request. Relays of earlier releases ignore the marks.
 type conn struct {
 	net.Conn
 	ws *websocket.Conn
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -168,7 +168,7 @@
 }
 
 // forward copies the bytes of the peer to the server until the peer ends the stream. An empty
-// message marks the begin of the request, the next one its end; peers of earlier releases send none.
+// message marks the start of the request, the next one its end; peers of earlier releases send none.
 func forward(ctx context.Context, target *httpanswer.Conn, ws *websocket.Conn) {
 	request := requestWriter{target: target}
 	hasBegun := false
--- a/internal/standin/rawanswer/rawanswer.go
+++ b/internal/standin/rawanswer/rawanswer.go
@@ -1,4 +1,4 @@
-// Package rawanswer is a server in trouble: its answers are texts, sent byte by byte as they are.
+// Package rawanswer has stand-ins for servers in trouble, which send raw bytes as answers.
 package rawanswer
 
 import (
