dispatch: Ask for every attempt whether the request may run once more

Cause: each way to one more attempt had its own conditions, and the escalation did not ask whether the route lets a request run twice.

Change: placeWith, where every attempt is placed, refuses one for a request that may have run and may not run twice; an attempt counts from its send to its end. The escalation asks the same before it drops an answer.

--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -44,6 +44,7 @@
 	x.watch(p, cancel)
 	x.tried = append(x.tried, p.server.ID)
 	p.attempt.MayEnd = func() bool { return x.secureNext(ctx, p) }
+	x.isRunning = true
 	answer, err := x.d.Transport.Send(attemptCtx, p.attempt)
 	if outcome := outcomeOf(err); err == nil || (outcome != retry.OutcomeConnectFailed && outcome != retry.OutcomeNotSent) {
 		x.sent++
@@ -52,6 +53,7 @@
 		defer answer.Close()
 		err = x.relayAnswer(p, answer)
 	}
+	x.isRunning = false
 	err = x.endWatch(ctx, p, err)
 	x.recordOutcome(ctx, p, err)
 	p.slot.End(p.isRunOver(err))
--- a/internal/dispatch/exchange.go
+++ b/internal/dispatch/exchange.go
@@ -78,6 +78,8 @@
 	next *placement
 	// isInFlight is set while an attempt is prepared that follows one whose server is silent.
 	isInFlight bool
+	// isRunning is set from the send of an attempt until its end: a server may be at work on it.
+	isRunning bool
 	// execution is the furthest execution status of all attempts so far.
 	execution apierror.ExecutionStatus
 	// isTrial is set while the request passes although its parts are refused.
@@ -196,8 +198,16 @@
 	return x.placeWith((*exchange).exclusions)
 }
 
-// placeWith places the request at a server that one of the lists of exclusions leaves.
+// mayRun reports whether one more attempt may run the request: none has run it, or its route lets a request run twice.
+func (x *exchange) mayRun() bool {
+	return x.route.Repeatable() || x.execution == apierror.NotRun && !x.isRunning
+}
+
+// placeWith places the request at a server that one of the lists of exclusions leaves. Every attempt is placed here.
 func (x *exchange) placeWith(exclusions exclusionLists) (*placement, *Refusal) {
+	if !x.mayRun() {
+		return nil, &Refusal{Reason: ServerFailed, Execution: x.execution, RetryAfter: shortRetryAfter}
+	}
 	if refusal := x.checkStop(); refusal != nil {
 		return nil, refusal
 	}
--- a/internal/dispatch/secure.go
+++ b/internal/dispatch/secure.go
@@ -40,9 +40,10 @@
 }
 
 // secureEscalation prepares the attempt at the model of the tier next, and reports whether there
-// is one: an answer is not discarded unless a server can take the request for the larger model.
+// is one: an answer is not discarded unless the request may run once more, and a server can take it for the larger
+// model.
 func (x *exchange) secureEscalation(head Head, next int) bool {
-	if !x.reserveRepeat(false) {
+	if !x.mayRun() || !x.reserveRepeat(false) {
 		return false
 	}
 	x.dropNext()
