quarantine: Store refused contents, and bound their trials for the whole fleet

Cause: what DisconnectTracker knew was in memory and came to a new process from its peers, of which there are none then. Besides, a refusal expired again and again, at each instance by itself: without any fault the fourth retry came after 7.5 minutes.

Change: the records of refused parts of prompts, with their conditional writes, trials and expiry, are package refusal, which poison and DisconnectTracker both use. Refused contents are rows content/<fingerprint> of the product's table, which earlier releases ignore. The request that comes when a trial is due acquires it in the store; there are two, after 30 s and 180 s. An answer lifts the refusal and removes the row. Writes, rows and what a restored store brings back are bounded. An older copy of the store takes no trials back, for parts of prompts as well. A placement that was secured before the refusal is checked again.

The tests of poison changed only in the type of the record.

--- a/internal/dispatch/deadlyfleet_test.go
+++ b/internal/dispatch/deadlyfleet_test.go
@@ -207,7 +207,7 @@
 	}
 	bus := f.network.Join(name, domain)
 	seed := f.rng.Uint64()
-	tracker := quarantine.NewDisconnectTracker(bus, nil)
+	tracker := quarantine.NewDisconnectTracker(quarantine.DisconnectOptions{Bus: bus})
 	go tracker.Run(ctx)
 	guard := poison.New(poison.Options{Bus: bus, FleetSize: func() int { return f.size }, Records: f.records, Seed: seed})
 	go guard.Run(ctx)
--- a/internal/dispatch/disconnects.go
+++ b/internal/dispatch/disconnects.go
@@ -65,15 +65,18 @@
 }
 
 // checkQuarantine refuses a request whose content has repeatedly made servers
-// disconnect while they ran it, or whose prompt has a part that crashes them.
+// disconnect while they ran it, or whose prompt has a part that crashes them. If the request
+// passes as a trial of its content, it passes until it loses a connection.
 func (x *exchange) checkQuarantine() *Refusal {
 	if refusal := x.checkParts(); refusal != nil {
 		return refusal
 	}
-	if x.d.Disconnects.Empty() {
+	if x.isContentTrial || x.d.Disconnects.Empty() {
 		return nil
 	}
-	if wait := x.d.Disconnects.RefusedFor(x.fingerprint()); wait > 0 {
+	wait, isTrial := x.d.Disconnects.Admit(context.Background(), x.fingerprint())
+	x.isContentTrial = isTrial
+	if wait > 0 {
 		return &Refusal{Reason: Quarantined, Execution: x.execution, RetryAfter: wait}
 	}
 	return nil
@@ -88,6 +91,7 @@
 			x.d.Disconnects.Answered(x.fingerprint())
 		}
 	case outcomeOf(err) == retry.OutcomeDisconnected && ctx.Err() == nil:
+		x.isContentTrial = false
 		content, at := x.fingerprint(), time.Now()
 		p.addFault(func() { x.d.Disconnects.Disconnected(content, p.server.Registration.Process(), p.started, at) })
 	}
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -177,7 +177,7 @@
 	}
 	b.d = New(Options{
 		Routing: b.state, Fleet: set, Transport: b.script, Releases: noReleases{},
-		Disconnects: quarantine.NewDisconnectTracker(membus.New().Join("i", "here"), nil),
+		Disconnects: quarantine.NewDisconnectTracker(quarantine.DisconnectOptions{Bus: membus.New().Join("i", "here")}),
 		Limits:      noLimits{}, Budgets: newBudgets(100), FailureDomain: "here", Seed: 1, Metrics: metrics.New(metrics.Sources{}),
 	})
 	return b
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -66,9 +66,9 @@
 type DisconnectTracker interface {
 	// Empty reports whether no content is tracked.
 	Empty() bool
-	// RefusedFor returns how long a content is still refused; zero if it may be
-	// sent.
-	RefusedFor(content quarantine.Fingerprint) time.Duration
+	// Admit returns how long a content is still refused; zero if it may be sent. With isTrial it may be sent
+	// once, as a trial of a refused content.
+	Admit(ctx context.Context, content quarantine.Fingerprint) (refusedFor time.Duration, isTrial bool)
 	// Disconnected records that a server process disconnected at a time while running a content. The
 	// attempt began at started.
 	Disconnected(content quarantine.Fingerprint, server fleet.Process, started, at time.Time)
--- a/internal/dispatch/exchange.go
+++ b/internal/dispatch/exchange.go
@@ -82,8 +82,8 @@
 	isRunning bool
 	// execution is the furthest execution status of all attempts so far.
 	execution apierror.ExecutionStatus
-	// isTrial is set while the request passes although its parts are refused.
-	isTrial bool
+	// isTrial is set while the request passes although its parts are refused, isContentTrial although its content is.
+	isTrial, isContentTrial bool
 	// hasFailed is set once an attempt failed or timed out at a server.
 	hasFailed bool
 	// unconfirmed is a failure that is not counted against its release before it is known
--- a/internal/dispatch/poison_test.go
+++ b/internal/dispatch/poison_test.go
@@ -12,6 +12,7 @@
 	"github.com/basilrail/basilrail/internal/modeltier"
 	"github.com/basilrail/basilrail/internal/peers/membus"
 	"github.com/basilrail/basilrail/internal/poison"
+	"github.com/basilrail/basilrail/internal/refusal"
 	"github.com/basilrail/basilrail/internal/retry"
 )
 
@@ -22,7 +23,7 @@
 	b.d.Poison = poison.New(poison.Options{Bus: membus.New().Join("i", "here"), FleetSize: func() int { return 1 }, Records: records, Seed: 1})
 	return func() {
 		now, _ := records.Now()
-		b.d.Poison.ApplyRecords([]poison.Record{{Parts: []poison.Part{deadlyPart}, From: now, NextTrial: now + time.Minute, Expires: now + time.Hour}}, false)
+		b.d.Poison.ApplyRecords([]refusal.Record{{Key: poison.FormatParts([]poison.Part{deadlyPart}), From: now, NextTrial: now + time.Minute, Expires: now + time.Hour}}, false)
 	}
 }
 
@@ -88,7 +89,7 @@
 			from, _ := records.Now()
 			b.d.Poison = poison.New(poison.Options{Bus: membus.New().Join("i", "here"), FleetSize: func() int { return 1 }, Records: records, Seed: 1})
 			b.servePrompt(&caller{}, 1, deadlyPart, 3)
-			b.d.Poison.ApplyRecords([]poison.Record{{Parts: []poison.Part{deadlyPart}, From: from, NextTrial: from + time.Minute, Expires: from + time.Hour}}, false)
+			b.d.Poison.ApplyRecords([]refusal.Record{{Key: poison.FormatParts([]poison.Part{deadlyPart}), From: from, NextTrial: from + time.Minute, Expires: from + time.Hour}}, false)
 			c := &caller{}
 			b.servePrompt(c, 1, deadlyPart, 3)
 			assert.Equal(t, name == "refused", c.refusal != nil, "a complete answer after the first crash rejects the record")
--- a/internal/dispatch/secure.go
+++ b/internal/dispatch/secure.go
@@ -106,6 +106,9 @@
 	if refusal == nil {
 		refusal = x.checkAllowed()
 	}
+	if refusal == nil {
+		refusal = x.checkQuarantine()
+	}
 	if refusal != nil {
 		p.slot.End(true)
 		x.d.Budgets.Return(x.service)
--- a/internal/dispatch/simrecords_test.go
+++ b/internal/dispatch/simrecords_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/basilrail/basilrail/internal/poison"
+	"github.com/basilrail/basilrail/internal/refusal"
 	"github.com/basilrail/basilrail/internal/storefeed"
 	"github.com/basilrail/basilrail/internal/wait"
 )
@@ -17,7 +18,7 @@
 	mu      sync.Mutex
 	down    bool
 	version uint64
-	rows    []poison.Record
+	rows    []refusal.Record
 }
 
 // simFeedDelay is how often the instances read the store.
@@ -29,7 +30,7 @@
 	r.down = down
 }
 
-func (r *simRecords) read() ([]poison.Record, bool) {
+func (r *simRecords) read() ([]refusal.Record, bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	return slices.Clone(r.rows), !r.down
@@ -47,15 +48,15 @@
 }
 
 // change replaces the row of a record, which must be at its position, by others.
-func (r *simRecords) change(old poison.Record, by ...poison.Record) error {
+func (r *simRecords) change(old refusal.Record, by ...refusal.Record) error {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.down {
 		return errTest
 	}
-	i := slices.IndexFunc(r.rows, func(row poison.Record) bool { return slices.Equal(row.Parts, old.Parts) })
+	i := slices.IndexFunc(r.rows, func(row refusal.Record) bool { return row.Key == old.Key })
 	if i < 0 && !old.Position.IsZero() || i >= 0 && r.rows[i].Position != old.Position {
-		return poison.ErrConflict
+		return refusal.ErrConflict
 	}
 	if i >= 0 {
 		r.rows = slices.Delete(r.rows, i, i+1)
@@ -68,13 +69,13 @@
 	return nil
 }
 
-// Save implements poison.RecordStore.
-func (r *simRecords) Save(_ context.Context, record poison.Record) error {
+// Save implements refusal.Store.
+func (r *simRecords) Save(_ context.Context, record refusal.Record) error {
 	return r.change(record, record)
 }
 
-// Remove implements poison.RecordStore.
-func (r *simRecords) Remove(_ context.Context, record poison.Record) error { return r.change(record) }
+// Remove implements refusal.Store.
+func (r *simRecords) Remove(_ context.Context, record refusal.Record) error { return r.change(record) }
 
-// Now implements poison.RecordStore.
+// Now implements refusal.Store.
 func (r *simRecords) Now() (time.Duration, bool) { return time.Since(r.began) + time.Hour, true }
--- a/internal/events/servers.go
+++ b/internal/events/servers.go
@@ -149,9 +149,26 @@
 		Number: 6033, Name: "crashing_contents_unknown", Level: logrus.InfoLevel,
 		Message: "the instance in peer did not send the contents that disconnect servers to this new process",
 	})
+	ContentAllowed = register(Event{
+		Number: 6034, Name: "content_allowed", Level: logrus.WarnLevel,
+		Message: "the content in reason is no longer refused: a server has answered it, or its record was removed or has expired",
+	})
+	ContentTrial = register(Event{
+		Number: 6035, Name: "content_trial", Level: logrus.WarnLevel,
+		Message: "this instance lets one request with the refused content in reason pass, to see whether it still disconnects its server; count is the number of such trials so far",
+	})
+	ContentRecordFailed = register(Event{
+		Number: 6036, Name: "content_record_failed", Level: logrus.WarnLevel,
+		Message: "the record of the refused content in reason could not be written or read; the refusal itself stays in effect",
+	})
+	ContentNotStored = register(Event{
+		Number: 6037, Name: "content_not_stored", Level: logrus.WarnLevel,
+		Message: "the content in reason is refused by this instance only and not stored: as many contents are refused as are stored at most",
+		Action:  "Look for a common cause, such as the loss of a failure domain.",
+	})
 	ContentDisconnectsServers = register(Event{
 		Number: 6014, Name: "content_breaks_servers", Level: logrus.ErrorLevel,
-		Message: "several servers disconnected, one after another, while running the same request; it is refused temporarily",
-		Action:  "Find the request's attempts by the server in the log line and report the engine bug; the refusal expires by itself.",
+		Message: "several servers disconnected, one after another, while running the same request; it is refused",
+		Action:  "Find the request's attempts by the server in the log line and report the engine bug. The refusal ends if such a request is answered, or when its row in the product's table is removed.",
 	})
 )
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -71,6 +71,8 @@
 	// EvacuatedDomains and EvacuatedRequests concern the failure domains that operators evacuate.
 	EvacuatedDomains  func() float64
 	EvacuatedRequests func() float64
+	// RefusedContents are the contents that are refused because they crash servers.
+	RefusedContents func() float64
 	// ColdServers are the servers that get few requests since they are cold.
 	ColdServers func() float64
 	// ServicesShort are the services that are short of capacity.
@@ -143,6 +145,7 @@
 	r.gauge("services_cut_off", "services", "Services of which this instance reaches no backend server over its own links.", s.ServicesCutOff)
 	r.gauge("evacuated_domains", "failure domains", "Failure domains that operators evacuate.", s.EvacuatedDomains)
 	r.gauge("evacuated_requests", "requests", "Requests of this instance that still run in evacuated failure domains.", s.EvacuatedRequests)
+	r.gauge("refused_contents", "contents", "Contents of requests that are refused because servers disconnected while they ran them.", s.RefusedContents)
 	r.gauge("cold_servers", "backend servers", "Backend servers to which requests are limited because they are cold, or were until just now.", s.ColdServers)
 	r.gauge("services_short", "services", "Services that are short of capacity: a part of their requests is refused at once.", s.ServicesShort)
 	r.gauge("share_allowed_out", "fraction", "Largest share of the requests to a service that this instance may send to other failure domains while their target latency is threatened.", s.ShareAllowedOut)
--- a/internal/poison/messages.go
+++ b/internal/poison/messages.go
@@ -134,7 +134,23 @@
 	for i, p := range parts {
 		ids[i] = strconv.FormatUint(uint64(p), 16)
 	}
-	return strings.Join(ids, ",")
+	return strings.Join(ids, partSeparator)
+}
+
+// partSeparator separates the ids in FormatParts.
+const partSeparator = ","
+
+// ParseParts parses the form of FormatParts.
+func ParseParts(text string) ([]Part, error) {
+	var parts []Part
+	for id := range strings.SplitSeq(text, partSeparator) {
+		p, err := strconv.ParseUint(id, 16, 64)
+		if err != nil {
+			return nil, errors.Wrap(err, "parse the id of a part")
+		}
+		parts = append(parts, Part(p))
+	}
+	return parts, nil
 }
 
 func (t *Tracker) broadcast(m message) {
--- a/internal/poison/poison.go
+++ b/internal/poison/poison.go
@@ -18,6 +18,7 @@
 	"github.com/basilrail/basilrail/internal/events"
 	"github.com/basilrail/basilrail/internal/fleet"
 	"github.com/basilrail/basilrail/internal/peers"
+	"github.com/basilrail/basilrail/internal/refusal"
 )
 
 const (
@@ -40,7 +41,7 @@
 	// FleetSize returns the number of instances; zero while it is unknown.
 	FleetSize func() int
 	// Records stores the refused parts; nil keeps them in memory only.
-	Records RecordStore
+	Records refusal.Store
 	// Seed seeds the choice of the instances that send messages.
 	Seed uint64
 	Log  *events.Logger
@@ -63,6 +64,8 @@
 	// shared holds, by part, the latest proof of soundness that all instances know of.
 	shared   map[Part]time.Time
 	verdicts []*verdict
+	// ledger stores the verdicts and schedules their trials.
+	ledger *refusal.Ledger
 	// lifted holds, by key, when a verdict was last lifted.
 	lifted map[string]time.Time
 	// isDirty is set if the evidence has changed since it was last judged. judgeAfter is when
@@ -76,21 +79,17 @@
 	parts partSet
 	// from is the time of the first crash.
 	from time.Time
-	// found is when this instance learned of the verdict, and saveAfter how long after that
-	// it writes the record, unless another instance has.
-	found     time.Time
-	saveAfter time.Duration
-	// record is the stored record; its Position is zero while it is not known to be stored.
-	record Record
-	// isSaving is set while the record is written. triedAt is when it was last tried.
-	isSaving bool
-	triedAt  time.Time
+	// standing is the verdict in the ledger.
+	standing *refusal.Standing
 	// isWanted is set if a request was refused since the last trial. trialUntil is set
 	// while this instance may let one request pass.
 	isWanted   bool
 	trialUntil time.Time
 }
 
+// key is the key of the verdict's record.
+func (v *verdict) key() string { return v.parts.String() }
+
 // interruption collects the attempts at one server whose connections ended together.
 type interruption struct {
 	at       time.Time
@@ -102,7 +101,7 @@
 	t := &Tracker{
 		Options: o, wake: make(chan struct{}, 1), rng: rand.New(rand.NewPCG(o.Seed, o.Seed)),
 		inFlight: make(map[fleet.Process]map[*Attempt]struct{}), interrupted: make(map[fleet.Process]*interruption),
-		evidence: newEvidence(), shared: make(map[Part]time.Time), lifted: make(map[string]time.Time),
+		evidence: newEvidence(), shared: make(map[Part]time.Time), lifted: make(map[string]time.Time), ledger: newLedger(o),
 	}
 	o.Bus.Handle(peers.KindPromptCrash, t.handle)
 	return t
@@ -311,10 +310,10 @@
 			return v
 		}
 	}
-	v := &verdict{parts: parts, from: from, found: time.Now(), saveAfter: minSaveDelay + peers.WriteDelay(t.Bus, parts.String()), record: t.newRecord(parts, from)}
+	v := &verdict{parts: parts, from: from, standing: t.ledger.Open(parts.String(), refusal.Crashes{First: from, Last: time.Now()})}
 	for _, other := range t.verdicts {
 		if other.parts.containsAll(parts) {
-			t.removeRecord(other.record)
+			t.removeRecord(other.standing.Record)
 		}
 	}
 	t.verdicts = slices.DeleteFunc(t.verdicts, func(other *verdict) bool { return other.parts.containsAll(parts) })
@@ -363,7 +362,7 @@
 	t.verdicts = slices.DeleteFunc(t.verdicts, func(other *verdict) bool { return other == v })
 	t.refusedCount.Store(int64(len(t.verdicts)))
 	maps.DeleteFunc(t.lifted, func(_ string, at time.Time) bool { return now.Sub(at) > liftMemory })
-	t.lifted[v.parts.String()] = now
+	t.lifted[v.key()] = now
 	t.Log.Log(events.PromptPartAllowed, events.Fields{PromptParts: v.parts.String()})
-	t.removeRecord(v.record)
+	t.removeRecord(v.standing.Record)
 }
--- a/internal/poison/records.go
+++ b/internal/poison/records.go
@@ -5,11 +5,9 @@
 	"slices"
 	"time"
 
-	"github.com/pkg/errors"
-
 	"github.com/basilrail/basilrail/internal/events"
 	"github.com/basilrail/basilrail/internal/peers"
-	"github.com/basilrail/basilrail/internal/storefeed"
+	"github.com/basilrail/basilrail/internal/refusal"
 )
 
 const (
@@ -21,134 +19,80 @@
 	maxTrials   = 3
 	// trialTime is how long an instance that acquired a trial may let a request pass.
 	trialTime = 10 * time.Second
-	// minSaveDelay is how long a verdict must hold before it is written.
-	minSaveDelay = 500 * time.Millisecond
-	// saveRetry is the time after which a record that could not be written is tried again.
-	saveRetry = 2 * time.Second
 	// liftMemory is how long a lifted verdict is remembered, so that late messages don't
 	// bring it back.
 	liftMemory = time.Minute
 )
 
-// ErrConflict means that a record was changed by another instance.
-var ErrConflict = errors.New("the record was changed by another instance")
-
-// Record is a stored verdict.
-type Record struct {
-	// Parts are sorted.
-	Parts []Part
-	// From is the time of the first crash on the store's clock. An instance that knows of a
-	// later answer with one of the parts rejects the record.
-	From time.Duration
-	// Trials is the number of trials that instances have acquired.
-	Trials int
-	// NextTrial is when the next one may be acquired, and Expires when the verdict ends,
-	// both on the store's clock; zero while that is unknown.
-	NextTrial, Expires time.Duration
-	// Position is the position of the stored row; zero if there is none.
-	Position storefeed.Position
-}
-
-// RecordStore keeps the verdicts through restarts of all instances.
-type RecordStore interface {
-	// Save writes a record if the stored one is at its Position. It returns ErrConflict if
-	// it is not.
-	Save(ctx context.Context, r Record) error
-	// Remove removes the record if it is at its Position.
-	Remove(ctx context.Context, r Record) error
-	// Now returns the time on the store's clock; ok is false while it is unknown.
-	Now() (now time.Duration, ok bool)
-}
-
-// newRecord returns the record of a new verdict.
-func (t *Tracker) newRecord(parts partSet, from time.Time) Record {
-	r := Record{Parts: parts}
-	t.schedule(&r, from)
-	return r
-}
-
-// schedule sets the times of a record that has none yet, if the store's clock is known.
-func (t *Tracker) schedule(r *Record, from time.Time) {
-	if t.Records == nil || r.Expires != 0 {
-		return
-	}
-	if now, ok := t.Records.Now(); ok {
-		r.From, r.NextTrial, r.Expires = now-time.Since(from), now+firstTrial, now+lifetime
+// newLedger returns the ledger of the verdicts.
+func newLedger(o Options) *refusal.Ledger {
+	return &refusal.Ledger{
+		Terms: refusal.Terms{FirstTrial: firstTrial, TrialGrowth: trialGrowth, MaxTrials: maxTrials, Lifetime: lifetime},
+		Store: o.Records, Bus: o.Bus,
+		Failed: func(key string, err error) {
+			o.Log.Log(events.PromptPartRecordFailed, events.Fields{PromptParts: key, Err: err})
+		},
 	}
 }
 
 // untilTrial returns how long requests are still refused by a verdict. The caller holds the
 // lock.
 func (t *Tracker) untilTrial(v *verdict) time.Duration {
-	if t.Records == nil || v.record.Expires == 0 {
-		return firstTrial
-	}
-	now, ok := t.Records.Now()
-	if !ok {
+	if t.Records == nil {
 		return firstTrial
 	}
-	until := v.record.Expires
-	if v.record.Trials < maxTrials {
-		until = min(until, v.record.NextTrial)
-	}
 	// While another instance has a trial, this one waits for its result.
-	return max(until-now, trialTime)
+	return max(t.ledger.UntilTrial(v.standing), trialTime)
 }
 
 // ApplyRecords applies stored records. With complete, they are all that are stored.
-func (t *Tracker) ApplyRecords(records []Record, complete bool) {
+func (t *Tracker) ApplyRecords(records []refusal.Record, complete bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for _, r := range records {
-		parts := newPartSet(r.Parts)
-		if len(parts) == 0 {
-			continue
-		}
-		r.Parts = parts
-		from := t.localTime(r.From)
-		if slices.ContainsFunc(parts, func(p Part) bool { return t.evidence.soundSince(p, from) }) {
-			t.removeRecord(r)
-			continue
-		}
-		v := t.refuse(parts, from, 0, "")
-		if !slices.Equal(v.parts, parts) {
-			t.removeRecord(r)
+		parts, err := ParseParts(r.Key)
+		if err != nil {
+			t.Log.Log(events.PromptPartRecordFailed, events.Fields{PromptParts: r.Key, Err: err})
 			continue
 		}
-		v.record = r
-		if time.Since(from) < evidenceLifetime {
-			t.evidence.addRecorded(parts, from)
-		}
+		t.applyRecord(newPartSet(parts), r)
 	}
 	if !complete {
 		return
 	}
 	for _, v := range slices.Clone(t.verdicts) {
-		isStored := slices.ContainsFunc(records, func(r Record) bool { return slices.Equal(newPartSet(r.Parts), v.parts) })
-		if !isStored && !v.record.Position.IsZero() {
+		isStored := slices.ContainsFunc(records, func(r refusal.Record) bool { return r.Key == v.key() })
+		if !isStored && v.standing.IsStored() {
 			t.forget(v)
 		}
 	}
 }
 
-// localTime converts a time of the store's clock, which may be in the future by an error of
-// the clock.
-func (t *Tracker) localTime(at time.Duration) time.Time {
-	now, ok := t.Records.Now()
-	if !ok {
-		return time.Now()
+// applyRecord applies the stored record of a verdict on parts. The caller holds the lock.
+func (t *Tracker) applyRecord(parts partSet, r refusal.Record) {
+	from := t.ledger.LocalTime(r.From)
+	if slices.ContainsFunc(parts, func(p Part) bool { return t.evidence.soundSince(p, from) }) {
+		t.removeRecord(r)
+		return
+	}
+	v := t.refuse(parts, from, 0, "")
+	if !slices.Equal(v.parts, parts) {
+		t.removeRecord(r)
+		return
+	}
+	t.ledger.Follow(v.standing, r)
+	if time.Since(from) < evidenceLifetime {
+		t.evidence.addRecorded(parts, from)
 	}
-	return time.Now().Add(min(at-now, 0))
 }
 
 // RecordRemoved lifts the verdict whose record was removed, by another instance or by an
 // operator.
-func (t *Tracker) RecordRemoved(parts []Part) {
+func (t *Tracker) RecordRemoved(key string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	set := newPartSet(parts)
 	for _, v := range slices.Clone(t.verdicts) {
-		if slices.Equal(v.parts, set) && !v.record.Position.IsZero() {
+		if v.key() == key && v.standing.IsStored() {
 			t.forget(v)
 		}
 	}
@@ -156,12 +100,12 @@
 
 // RecordsLost makes the instances write the verdicts again whose records a restored store
 // has lost.
-func (t *Tracker) RecordsLost(present []Record) {
+func (t *Tracker) RecordsLost(present []refusal.Record) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for _, v := range t.verdicts {
-		if !slices.ContainsFunc(present, func(r Record) bool { return slices.Equal(newPartSet(r.Parts), v.parts) }) {
-			v.record.Position = storefeed.Position{}
+		if !slices.ContainsFunc(present, func(r refusal.Record) bool { return r.Key == v.key() }) {
+			t.ledger.Lost(v.standing)
 		}
 	}
 }
@@ -169,7 +113,7 @@
 // forget lifts a verdict whose record is gone, and the evidence for it. The caller holds the
 // lock.
 func (t *Tracker) forget(v *verdict) {
-	v.record.Position = storefeed.Position{}
+	t.ledger.Lost(v.standing)
 	for _, c := range t.evidence.crashes {
 		if c.isExplainedBy(v.parts) {
 			c.isRefuted = true
@@ -178,13 +122,10 @@
 	t.lift(v, time.Now())
 }
 
-// dueRecord is a record to be written for a verdict. Its Position is that of the record which the
-// decision rests on, so that the write fails if another instance has changed it since.
+// dueRecord is a record to be written for a verdict.
 type dueRecord struct {
 	verdict *verdict
-	record  Record
-	// isTrial is set if the record acquires a trial.
-	isTrial bool
+	change  refusal.Change
 }
 
 // dueRecords returns the records that are to be written, and acquires no trial while a write is
@@ -193,43 +134,26 @@
 	if t.Records == nil {
 		return nil
 	}
-	clock, ok := t.Records.Now()
-	if !ok {
+	if _, ok := t.Records.Now(); !ok {
 		return nil
 	}
 	var due []dueRecord
 	for _, v := range slices.Clone(t.verdicts) {
-		t.schedule(&v.record, v.from)
-		if v.isSaving || now.Sub(v.triedAt) < saveRetry {
-			continue
-		}
-		d := dueRecord{verdict: v, record: v.record}
-		switch {
-		case clock >= v.record.Expires:
+		if t.ledger.IsExpired(v.standing) {
 			t.lift(v, now)
 			continue
-		case v.record.Position.IsZero() && now.Sub(v.found) >= v.saveAfter:
-		case !v.record.Position.IsZero() && v.isWanted && v.record.Trials < maxTrials && clock >= v.record.NextTrial:
-			d.record, d.isTrial = v.record.withTrial(clock), true
-		default:
-			continue
 		}
-		v.isSaving, v.triedAt = true, now
-		due = append(due, d)
+		change, ok := t.ledger.DueSave(v.standing)
+		if !ok && v.isWanted {
+			change, ok = t.ledger.DueTrial(v.standing)
+		}
+		if ok {
+			due = append(due, dueRecord{verdict: v, change: change})
+		}
 	}
 	return due
 }
 
-// withTrial returns the record with a trial that is acquired at a time of the store's clock.
-func (r Record) withTrial(clock time.Duration) Record {
-	delay := firstTrial
-	for range r.Trials + 1 {
-		delay *= trialGrowth
-	}
-	r.Trials, r.NextTrial, r.Expires = r.Trials+1, clock+delay, clock+lifetime
-	return r
-}
-
 // saveRecords writes records without holding up the caller.
 func (t *Tracker) saveRecords(ctx context.Context, due []dueRecord) {
 	for _, d := range due {
@@ -239,32 +163,17 @@
 
 // saveRecord writes a record.
 func (t *Tracker) saveRecord(ctx context.Context, d dueRecord) {
-	err := t.Records.Save(ctx, d.record)
+	err := t.ledger.Commit(ctx, d.change)
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	v := d.verdict
-	v.isSaving = false
-	switch {
-	case errors.Is(err, ErrConflict):
-		// Another instance wrote it; the feed of the table brings its row.
-	case err != nil:
-		t.Log.Log(events.PromptPartRecordFailed, events.Fields{PromptParts: v.parts.String(), Err: err})
-	case d.isTrial:
-		v.isWanted, v.trialUntil, v.record.NextTrial = false, time.Now().Add(trialTime), d.record.NextTrial
-		t.Log.Log(events.PromptPartTrial, events.Fields{PromptParts: v.parts.String(), Count: d.record.Trials})
+	t.ledger.Committed(d.change, err)
+	if v := d.verdict; err == nil && d.change.IsTrial() {
+		v.isWanted, v.trialUntil = false, time.Now().Add(trialTime)
+		t.Log.Log(events.PromptPartTrial, events.Fields{PromptParts: v.key(), Count: d.change.Trials()})
 	}
 }
 
 // removeRecord removes the record of a lifted verdict.
-func (t *Tracker) removeRecord(r Record) {
-	if t.Records == nil || r.Position.IsZero() {
-		return
-	}
-	delay := peers.WriteDelay(t.Bus, partSet(r.Parts).String())
-	time.AfterFunc(delay, func() {
-		err := t.Records.Remove(context.Background(), r)
-		if err != nil && !errors.Is(err, ErrConflict) {
-			t.Log.Log(events.PromptPartRecordFailed, events.Fields{PromptParts: partSet(r.Parts).String(), Err: err})
-		}
-	})
+func (t *Tracker) removeRecord(r refusal.Record) {
+	t.ledger.Remove(r, peers.WriteDelay(t.Bus, r.Key))
 }
--- a/internal/poison/records_test.go
+++ b/internal/poison/records_test.go
@@ -10,29 +10,30 @@
 
 	"github.com/basilrail/basilrail/internal/bubble"
 	"github.com/basilrail/basilrail/internal/peers/membus"
+	"github.com/basilrail/basilrail/internal/refusal"
 	"github.com/basilrail/basilrail/internal/storefeed"
 )
 
 // oneRecord is a store with the record of one verdict.
 type oneRecord struct {
 	began  time.Time
-	record Record
+	record refusal.Record
 }
 
-// Save implements RecordStore.
-func (s *oneRecord) Save(_ context.Context, r Record) error {
+// Save implements refusal.Store.
+func (s *oneRecord) Save(_ context.Context, r refusal.Record) error {
 	if r.Position != s.record.Position {
-		return ErrConflict
+		return refusal.ErrConflict
 	}
 	s.record = r
 	s.record.Position.Revision++
 	return nil
 }
 
-// Remove implements RecordStore.
-func (s *oneRecord) Remove(context.Context, Record) error { return nil }
+// Remove implements refusal.Store.
+func (s *oneRecord) Remove(context.Context, refusal.Record) error { return nil }
 
-// Now implements RecordStore.
+// Now implements refusal.Store.
 func (s *oneRecord) Now() (time.Duration, bool) { return time.Since(s.began), true }
 
 // TestTrialIsNotAcquiredAfterAnotherInstanceHas guards against a second trial at the same moment: an instance whose feed
@@ -40,9 +41,9 @@
 func TestTrialIsNotAcquiredAfterAnotherInstanceHas(t *testing.T) {
 	bubble.Test(t, func(t *testing.T) {
 		store := &oneRecord{began: time.Now()}
-		store.record = Record{Parts: []Part{guilty}, NextTrial: firstTrial, Expires: lifetime, Position: storefeed.Position{Revision: 1}}
+		store.record = refusal.Record{Key: FormatParts([]Part{guilty}), NextTrial: firstTrial, Expires: lifetime, Position: storefeed.Position{Revision: 1}}
 		tracker := New(Options{Bus: membus.New().Join("a", "d"), FleetSize: func() int { return 2 }, Records: store})
-		tracker.ApplyRecords([]Record{store.record}, true)
+		tracker.ApplyRecords([]refusal.Record{store.record}, true)
 		time.Sleep(firstTrial)
 		_, refused, _ := tracker.Refused([]Part{guilty})
 		require.True(t, refused)
@@ -54,7 +55,7 @@
 		taken := store.record
 		taken.Trials, taken.NextTrial = 1, trialGrowth*firstTrial
 		require.NoError(t, store.Save(t.Context(), taken))
-		tracker.ApplyRecords([]Record{store.record}, true)
+		tracker.ApplyRecords([]refusal.Record{store.record}, true)
 		tracker.saveRecords(t.Context(), due)
 		time.Sleep(time.Second)
 		_, refused, _ = tracker.Refused([]Part{guilty})
--- a/internal/quarantine/catchup.go
+++ b/internal/quarantine/catchup.go
@@ -74,6 +74,11 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	m := disconnectsMessage{IsInformed: d.isInformed}
+	for fp, state := range d.refused {
+		if len(state.servers) > 0 {
+			m.Disconnected = append(m.Disconnected, state.report(fp))
+		}
+	}
 	for _, fp := range d.contents.Keys() {
 		if state, ok := d.contents.Peek(fp); ok {
 			m.Disconnected = append(m.Disconnected, state.report(fp))
@@ -87,8 +92,8 @@
 // answerReport lets some of the instances that know more disconnects than a peer reports broadcast what
 // they know: the peer was cut off or has restarted. The caller holds the lock.
 func (d *DisconnectTracker) answerReport(content contentReport) {
-	state, ok := d.contents.Peek(content.Fingerprint)
-	if !ok || len(state.servers) <= len(content.Servers) {
+	state := d.peek(content.Fingerprint)
+	if state == nil || len(state.servers) <= len(content.Servers) {
 		return
 	}
 	if rand.Float64()*float64(len(d.bus.Peers())+1) < reportAnswers {
--- a/internal/quarantine/catchup_test.go
+++ b/internal/quarantine/catchup_test.go
@@ -20,7 +20,7 @@
 		network := membus.New()
 		start := func(i int) (*DisconnectTracker, func()) {
 			ctx, stop := context.WithCancel(t.Context())
-			d := NewDisconnectTracker(network.Join(fmt.Sprint("i", i), "d"), nil)
+			d := NewDisconnectTracker(DisconnectOptions{Bus: network.Join(fmt.Sprint("i", i), "d")})
 			go d.Run(ctx)
 			return d, stop
 		}
@@ -49,7 +49,7 @@
 	bubble.Test(t, func(t *testing.T) {
 		network := membus.New()
 		join := func(id string) *DisconnectTracker {
-			d := NewDisconnectTracker(network.Join(id, "d"), nil)
+			d := NewDisconnectTracker(DisconnectOptions{Bus: network.Join(id, "d")})
 			go d.Run(t.Context())
 			return d
 		}
--- a/internal/quarantine/disconnects.go
+++ b/internal/quarantine/disconnects.go
@@ -13,6 +13,7 @@
 	"github.com/basilrail/basilrail/internal/events"
 	"github.com/basilrail/basilrail/internal/fleet"
 	"github.com/basilrail/basilrail/internal/peers"
+	"github.com/basilrail/basilrail/internal/refusal"
 	"github.com/basilrail/basilrail/internal/wait"
 )
 
@@ -20,18 +21,36 @@
 	// disconnectLimit is the number of successive servers that may disconnect while
 	// running a content before it is refused: the operators tolerate three.
 	disconnectLimit = 3
-	// initialRefusal is how long such a content is refused at first; each further
-	// disconnect doubles the time. A failure domain that lost its connectivity is
-	// back sooner.
-	initialRefusal = 30 * time.Second
-	// maxDoublings bounds the refusal time to about four hours.
-	maxDoublings = 9
+	// firstTrial is how long after that one request with the content may pass, in case the connections were lost for
+	// another reason: a failure domain that lost its connectivity is back sooner. The second trial comes trialGrowth
+	// times as long after the first. The operators tolerate three requests that reach servers after the third crash;
+	// maxTrials leaves one for an instance that does not know of the refusal.
+	firstTrial  = 30 * time.Second
+	trialGrowth = 6
+	maxTrials   = 2
+	// refusalLifetime is how long a content is refused after its third crash, or its last trial.
+	refusalLifetime = 24 * time.Hour
+	// trialWait bounds the time that a request waits for its trial to be acquired: a transaction takes 5 ms normally.
+	trialWait = 300 * time.Millisecond
+	// trialRetryAfter is the retry delay of a request for which a trial could not be acquired.
+	trialRetryAfter = time.Second
 	// broadcastInterval is the interval between broadcasts to peers: a third of the
 	// time within which an instance must know what its peers know. A content that
 	// another server answers in the meantime is not reported.
 	broadcastInterval = time.Second
-	// maxContents bounds the tracked contents, at about 200 bytes each.
+	// maxContents bounds the contents that are tracked and not refused, at about 200 bytes each.
 	maxContents = 4096
+	// maxRefused bounds the refused contents that are stored, to one page of the store.
+	maxRefused = 128
+	// evictAfter is how long a content is refused at least before another one takes its place: the loss of a failure
+	// domain marks many contents at once, which must not replace each other.
+	evictAfter = time.Minute
+	// maxServers bounds the servers that are kept for a content.
+	maxServers = 12
+	// liftMemory is how long a content is remembered as no longer tracked, so that late reports and records don't bring
+	// it back, and maxLifted bounds these contents.
+	liftMemory = time.Minute
+	maxLifted  = 1024
 	// maxContentsPerMessage bounds a message to about 4 kB.
 	maxContentsPerMessage = 64
 )
@@ -39,15 +58,23 @@
 // DisconnectTracker finds request contents that crash the servers which run them, where
 // a lost connection is the only sign of a crash. Connections are also lost for other
 // reasons. Therefore only successive disconnects of different servers count, with
-// no complete answer in between, and a refusal expires.
+// no complete answer in between, and trials show whether a refusal is right.
 //
 // This covers a request that crashes servers and is repeated by its caller at any
-// instance. DisconnectTracker is safe for concurrent use.
+// instance, also after a restart of all instances: refused contents are stored.
+// DisconnectTracker is safe for concurrent use.
 type DisconnectTracker struct {
-	bus      peers.Bus
-	log      *events.Logger
-	mu       sync.Mutex
+	bus    peers.Bus
+	log    *events.Logger
+	wake   chan struct{}
+	mu     sync.Mutex
+	ledger *refusal.Ledger
+	// contents are the contents that are not refused, or refused by this instance only. refused are those whose
+	// refusals are stored.
 	contents *lru.Cache[Fingerprint, *contentState]
+	refused  map[Fingerprint]*contentState
+	// lifted holds when a content was answered, or its record removed.
+	lifted *lru.Cache[Fingerprint, time.Time]
 	// unreported are contents with disconnects that the peers have not received, and
 	// answered are reported contents of which the peers must learn that they were
 	// answered.
@@ -61,9 +88,14 @@
 type contentState struct {
 	// servers are the server processes that disconnected, in order.
 	servers []fleet.Process
-	last    time.Time
+	// first and last are the times of the first and the last disconnect.
+	first, last time.Time
 	// reported is true once the peers have been informed of the content.
 	reported bool
+	// standing is the refusal of the content; nil for none.
+	standing *refusal.Standing
+	// askedAt is when a request with the refused content last came.
+	askedAt time.Time
 }
 
 // disconnectsMessage is the body of peers.KindCrashingContent.
@@ -106,28 +138,78 @@
 	return list
 }
 
+// DisconnectOptions are the dependencies of a DisconnectTracker.
+type DisconnectOptions struct {
+	Bus peers.Bus
+	// Records stores the refused contents; nil keeps them in memory only.
+	Records refusal.Store
+	Log     *events.Logger
+}
+
 // NewDisconnectTracker returns a DisconnectTracker and registers its message handler.
-func NewDisconnectTracker(bus peers.Bus, log *events.Logger) *DisconnectTracker {
+func NewDisconnectTracker(o DisconnectOptions) *DisconnectTracker {
 	// lru.New fails only for a size below one.
 	cache, _ := lru.New[Fingerprint, *contentState](maxContents)
-	d := &DisconnectTracker{bus: bus, log: log, contents: cache, unreported: make(map[Fingerprint]bool)}
-	bus.Handle(peers.KindCrashingContent, d.handle)
+	lifted, _ := lru.New[Fingerprint, time.Time](maxLifted)
+	d := &DisconnectTracker{
+		bus: o.Bus, log: o.Log, wake: make(chan struct{}, 1), ledger: newContentLedger(o), contents: cache,
+		refused: make(map[Fingerprint]*contentState), lifted: lifted, unreported: make(map[Fingerprint]bool),
+	}
+	o.Bus.Handle(peers.KindCrashingContent, d.handle)
 	return d
 }
 
 // Empty reports whether no content is tracked.
-func (d *DisconnectTracker) Empty() bool { return d.contents.Len() == 0 }
+func (d *DisconnectTracker) Empty() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.contents.Len()+len(d.refused) == 0
+}
 
-// RefusedFor returns how long a content is still refused; zero if it may be sent.
-func (d *DisconnectTracker) RefusedFor(fp Fingerprint) time.Duration {
+// Refused returns the number of contents that are refused.
+func (d *DisconnectTracker) Refused() int {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	count := len(d.refused)
+	for _, state := range d.contents.Values() {
+		if state.standing != nil {
+			count++
+		}
+	}
+	return count
+}
+
+// peek returns the state of a content; nil if it is not tracked. The caller holds the lock.
+func (d *DisconnectTracker) peek(fp Fingerprint) *contentState {
+	if state := d.refused[fp]; state != nil {
+		return state
+	}
+	state, _ := d.contents.Peek(fp)
+	return state
+}
+
+// getOrAdd returns the state of a content, and tracks it from now on. The caller holds the lock.
+func (d *DisconnectTracker) getOrAdd(fp Fingerprint) *contentState {
+	if state := d.refused[fp]; state != nil {
+		return state
+	}
 	state, ok := d.contents.Get(fp)
-	if !ok || len(state.servers) < disconnectLimit {
+	if !ok {
+		state = &contentState{}
+		d.contents.Add(fp, state)
+	}
+	return state
+}
+
+// RefusedFor returns how long a content is still refused; zero if it is not, or if a trial is due.
+func (d *DisconnectTracker) RefusedFor(fp Fingerprint) time.Duration {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	state := d.peek(fp)
+	if state == nil || state.standing == nil {
 		return 0
 	}
-	doublings := min(len(state.servers)-disconnectLimit, maxDoublings)
-	return max(0, time.Until(state.last.Add(initialRefusal<<doublings)))
+	return d.ledger.UntilTrial(state.standing)
 }
 
 // Disconnected records that a server process disconnected at a time, which may be some time ago, while
@@ -136,28 +218,33 @@
 func (d *DisconnectTracker) Disconnected(fp Fingerprint, server fleet.Process, started, at time.Time) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	state, ok := d.contents.Get(fp)
-	if !ok {
-		state = &contentState{}
-		d.contents.Add(fp, state)
-	}
+	state := d.getOrAdd(fp)
 	if started.Before(state.last) || state.has(server) {
 		return
 	}
-	d.setServers(fp, state, append(slices.Clone(state.servers), server), at)
+	if state.first.IsZero() {
+		state.first = at
+	}
+	d.setServers(fp, state, append(slices.Clone(state.servers), server), at, true)
 	d.unreported[fp] = true
 }
 
 // has reports whether a process counts already.
 func (s *contentState) has(p fleet.Process) bool { return slices.ContainsFunc(s.servers, p.IsSame) }
 
-// setServers stores a longer list of servers and the time of the last disconnect.
-// The caller holds the lock.
-func (d *DisconnectTracker) setServers(fp Fingerprint, state *contentState, servers []fleet.Process, last time.Time) {
+// setServers stores a longer list of servers and the time of the last disconnect. isFinder is set if this instance saw
+// that one. The caller holds the lock.
+func (d *DisconnectTracker) setServers(fp Fingerprint, state *contentState, servers []fleet.Process, last time.Time, isFinder bool) {
 	state.servers, state.last = servers, last
-	if len(servers) >= disconnectLimit {
-		d.log.Log(events.ContentDisconnectsServers, events.Fields{Reason: fp.String(), Count: len(servers), Server: servers[len(servers)-1].ID})
+	if len(servers) < disconnectLimit {
+		return
 	}
+	d.log.Log(events.ContentDisconnectsServers, events.Fields{Reason: fp.String(), Count: len(servers), Server: servers[len(servers)-1].ID})
+	if state.standing == nil {
+		d.refuse(fp, state, isFinder)
+		return
+	}
+	d.ledger.Crashed(state.standing, last)
 }
 
 // Answered records that a server answered a content completely, and stops tracking
@@ -165,12 +252,11 @@
 func (d *DisconnectTracker) Answered(fp Fingerprint) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if state, ok := d.contents.Get(fp); ok {
-		d.contents.Remove(fp)
-		delete(d.unreported, fp)
+	if state := d.peek(fp); state != nil {
 		if state.reported {
 			d.answered = append(d.answered, fp)
 		}
+		d.lift(fp, state, 0)
 	}
 }
 
@@ -178,6 +264,7 @@
 // peers know.
 func (d *DisconnectTracker) Run(ctx context.Context) {
 	go d.catchUp(ctx)
+	go d.keepRecords(ctx)
 	wait.Every(ctx, broadcastInterval, func() {
 		if m := d.message(); len(m.Disconnected)+len(m.Answered) > 0 {
 			d.bus.Broadcast(peers.KindCrashingContent, m)
@@ -196,7 +283,7 @@
 			break
 		}
 		delete(d.unreported, fp)
-		if state, ok := d.contents.Peek(fp); ok {
+		if state := d.peek(fp); state != nil {
 			state.reported = true
 			m.Disconnected = append(m.Disconnected, state.report(fp))
 		}
@@ -225,32 +312,39 @@
 		d.answerReport(content)
 	}
 	for _, fp := range m.Answered {
-		d.contents.Remove(fp)
-		delete(d.unreported, fp)
+		if state := d.peek(fp); state != nil {
+			// The instance that saw the answer removes the record first.
+			d.lift(fp, state, liftBackup+peers.WriteDelay(d.bus, fp.String()))
+		}
 	}
 	return nil, nil
 }
 
-// mergeReport merges a peer's report on a content into the local state. The caller
-// holds the lock.
+// mergeReport merges a peer's report on a content into the local state. A report that is older than an answer makes the
+// peers learn of the answer. The caller holds the lock.
 func (d *DisconnectTracker) mergeReport(content contentReport) {
-	state, ok := d.contents.Get(content.Fingerprint)
-	if !ok {
-		state = &contentState{}
-		d.contents.Add(content.Fingerprint, state)
+	last := time.Now().Add(-time.Duration(content.Age) * time.Millisecond)
+	if d.wasLiftedSince(content.Fingerprint, last) {
+		if !slices.Contains(d.answered, content.Fingerprint) {
+			d.answered = append(d.answered, content.Fingerprint)
+		}
+		return
 	}
+	state := d.getOrAdd(content.Fingerprint)
 	state.reported = true
 	merged := contentState{servers: slices.Clone(state.servers)}
 	for _, server := range content.processes() {
-		if !merged.has(server) && len(merged.servers) < disconnectLimit+maxDoublings {
+		if !merged.has(server) && len(merged.servers) < maxServers {
 			merged.servers = append(merged.servers, server)
 		}
 	}
 	if servers := merged.servers; len(servers) > len(state.servers) {
-		last := time.Now().Add(-time.Duration(content.Age) * time.Millisecond)
 		if last.Before(state.last) {
 			last = state.last
 		}
-		d.setServers(content.Fingerprint, state, servers, last)
+		if state.first.IsZero() {
+			state.first = last
+		}
+		d.setServers(content.Fingerprint, state, servers, last, false)
 	}
 }
--- a/internal/quarantine/disconnects_test.go
+++ b/internal/quarantine/disconnects_test.go
@@ -17,7 +17,7 @@
 	network := membus.New()
 	var list []*DisconnectTracker
 	for i := range n {
-		b := NewDisconnectTracker(network.Join(fmt.Sprint("i", i), "d"), nil)
+		b := NewDisconnectTracker(DisconnectOptions{Bus: network.Join(fmt.Sprint("i", i), "d")})
 		list = append(list, b)
 		go b.Run(t.Context())
 	}
@@ -121,7 +121,7 @@
 // TestReportsOfEarlierBuildsCountByID guards against reports without the starts of processes that count a
 // server twice, while instances of an earlier build run beside others.
 func TestReportsOfEarlierBuildsCountByID(t *testing.T) {
-	d := NewDisconnectTracker(membus.New().Join("i0", "d"), nil)
+	d := NewDisconnectTracker(DisconnectOptions{Bus: membus.New().Join("i0", "d")})
 	d.Disconnected(culprit, fleet.Process{ID: "s1", Started: 7}, time.Now(), time.Now())
 	d.mergeReport(contentReport{Fingerprint: culprit, Servers: []string{"s1", "s2"}})
 	state, _ := d.contents.Peek(culprit)
