dispatch: An answer dropped for a larger model does not acquit a content

What callers saw: on a route with several models, a request that crashes servers after the head of the answer was never refused when the small model's confidence is low (BUDGET).

Cause: an escalation was reported to the DisconnectTracker as a complete answer, which cleared the disconnects counted so far.

Change: an escalation reports nothing.

Evidence: TestEscalationDoesNotAcquitTheContent failed before, with a sixth attempt, and passes.

--- a/internal/dispatch/disconnects.go
+++ b/internal/dispatch/disconnects.go
@@ -83,10 +83,11 @@
 }
 
 // recordDisconnect reports to the disconnect tracker whether the server answered
-// the request or disconnected while running it.
+// the request or disconnected while running it. An answer that was dropped for a larger model proves nothing: its server
+// may have crashed after the head.
 func (x *exchange) recordDisconnect(ctx context.Context, p *placement, err error) {
 	switch {
-	case err == nil, err == errEscalated, err == errServerFailed:
+	case err == nil, err == errServerFailed:
 		if !x.d.Disconnects.Empty() {
 			x.d.Disconnects.Answered(x.fingerprint())
 		}
--- a/internal/dispatch/poison_test.go
+++ b/internal/dispatch/poison_test.go
@@ -96,3 +96,18 @@
 		})
 	}
 }
+
+// TestEscalationDoesNotAcquitTheContent guards against a request that crashes servers and is never refused, because the small
+// model's head, which comes before the crash, counted as an answer (BUDGET).
+func TestEscalationDoesNotAcquitTheContent(t *testing.T) {
+	lost := fails(retry.OutcomeDisconnected)
+	b := newSetup(unconfident(), lost, lost, unconfident(), lost, answers(200, "must not run"))
+	for range 2 {
+		b.serve("/chat/")
+	}
+	require.Len(t, b.script.attempts, 5)
+	c := b.serve("/chat/")
+	require.NotNil(t, c.refusal)
+	assert.Equal(t, Quarantined, c.refusal.Reason)
+	assert.Len(t, b.script.attempts, 5)
+}
