modeltier: Choose a model that is good enough where its answer can't be replaced

What callers saw: on a route whose requests run once, or that allows one attempt, the smallest model answered first, and its poor answers stayed: no larger model may replace them. Idempotent calls kept the poor answer of the smallest model if it was no stream.

Cause: the choice of the first model did not know whether there is a second. The escalation weighed streams only.

Change: where the first choice is the only one, the largest model is asked. Fewer requests get the largest as the servers fill up. A complete answer with a low confidence is replaced like a stream.

Evidence: TestOnlyModelIsLargeEnough and TestCompleteAnswerOfLowConfidenceIsReplaced fail with the first choice as it was.

--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -141,10 +141,13 @@
 		}
 		return x.forwardEvents(p, answer)
 	}
-	if head.Stream && head.Status == http.StatusOK {
+	if head.Status == http.StatusOK {
+		x.observeConfidence(head)
 		if x.escalates(head) {
 			return errEscalated
 		}
+	}
+	if head.Stream && head.Status == http.StatusOK {
 		return x.relayStream(p, answer)
 	}
 	body, err := answer.Body()
@@ -181,6 +184,13 @@
 	x.serverFailure, x.releaseFailure = nil, nil
 }
 
+// observeConfidence records how confident the smallest model is of its answer.
+func (x *exchange) observeConfidence(head Head) {
+	if len(x.tiers) > 0 && x.tier == 0 {
+		x.d.sufficiency.Observe(x.route.Name, head.Confidence)
+	}
+}
+
 // escalates reports whether a larger model is asked instead, and prepares the attempt.
 func (x *exchange) escalates(head Head) bool {
 	if len(x.tiers) == 0 || x.sent+1 > x.route.MaxAttempts {
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -151,8 +151,10 @@
 type Dispatcher struct {
 	Options
 	prefill *prefill.Estimator
-	mu      sync.Mutex
-	rng     *rand.Rand
+	// sufficiency learns on which routes the smallest model is good enough by itself.
+	sufficiency *modeltier.Sufficiency
+	mu          sync.Mutex
+	rng         *rand.Rand
 	// waiting holds, by service, the requests that wait for the end of a pause.
 	waiting map[string]*fifo.Queue
 	// stop is set while the instance stops, and ended is done at its end.
@@ -166,7 +168,7 @@
 	ended, end := context.WithCancel(context.Background())
 	return &Dispatcher{
 		Options: o, prefill: prefill.NewEstimator(), rng: rand.New(rand.NewPCG(o.Seed, o.Seed)),
-		waiting: make(map[string]*fifo.Queue), ended: ended, end: end,
+		waiting: make(map[string]*fifo.Queue), ended: ended, end: end, sufficiency: modeltier.NewSufficiency(),
 	}
 }
 
@@ -282,11 +284,28 @@
 		x.tiers = append(x.tiers, modeltier.Tier{Model: model, Cost: cost})
 	}
 	if len(x.tiers) > 0 {
-		x.tier = modeltier.First(x.tiers)
+		x.tier = x.firstTier()
 	}
 	return nil
 }
 
+// isReplaceable reports whether an answer of the first model can be replaced by that of a larger one.
+func (x *exchange) isReplaceable() bool { return x.route.Repeatable() && x.route.MaxAttempts > 1 }
+
+// firstTier returns the model of the first attempt. Where it is also the only one, its answer must be good enough by
+// itself.
+func (x *exchange) firstTier() int {
+	if x.isReplaceable() {
+		return modeltier.First(x.tiers)
+	}
+	utilization := x.d.Fleet.Snapshot().Utilization(x.service, x.release)
+	only := modeltier.Only(x.tiers, x.d.sufficiency.IsSufficient(x.route.Name), utilization, x.d.draw())
+	if tier, ok := x.largestInTime(only); ok {
+		return tier
+	}
+	return modeltier.First(x.tiers)
+}
+
 func refused(reason Reason, retryAfter time.Duration) *Refusal {
 	return &Refusal{Reason: reason, Execution: apierror.NotRun, RetryAfter: retryAfter}
 }
--- a/internal/dispatch/runsonce_test.go
+++ b/internal/dispatch/runsonce_test.go
@@ -16,15 +16,27 @@
 // newSizedRoute returns a setup whose route /chat/ is of a kind and has models of several sizes.
 func newSizedRoute(kind routing.Kind, isResumable bool, steps ...step) *setup {
 	b := newSetup(steps...)
+	b.limitAttempts(kind, isResumable, 3)
+	return b
+}
+
+// limitAttempts replaces the configuration by one whose route /chat/ has models of several sizes.
+func (b *setup) limitAttempts(kind routing.Kind, isResumable bool, maxAttempts int) {
 	b.state.Put(routing.New(routing.Config{
-		Version: 2, Keys: b.keys,
+		Version: b.state.Table().Version() + 1, Keys: b.keys,
 		Routes: []routing.Route{{
-			Host: "h", Prefix: "/chat/", Kind: kind, Resumable: isResumable, CarriesPrompt: true, Timeout: 10 * time.Second,
-			TargetLatency: time.Second, MaxAttempts: 3, Models: []string{"small", "mid", "large"},
+			Name: "chat", Host: "h", Prefix: "/chat/", Kind: kind, Resumable: isResumable, CarriesPrompt: true, Timeout: 10 * time.Second,
+			TargetLatency: time.Second, MaxAttempts: maxAttempts, Models: []string{"small", "mid", "large"},
 			Targets: []routing.Target{{Service: "models", Weight: 1}},
 		}},
 	}))
-	return b
+}
+
+// trustSmallModel makes the small model sufficient, so that it is asked where it is the only one too.
+func (b *setup) trustSmallModel() {
+	for range 1000 {
+		b.d.sufficiency.Observe("chat", 90)
+	}
 }
 
 // unconfident answers any model with an event and a low confidence.
@@ -50,6 +62,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			b := newSizedRoute(c.kind, c.isResumable, unconfident(), unconfident())
+			b.trustSmallModel()
 			answered := &caller{}
 			b.d.Serve(context.Background(), &Request{
 				ID: "id", Host: "h", Path: "/chat/", Key: "key", Arrived: time.Now(), AnyModel: true, Session: c.session,
@@ -102,3 +115,44 @@
 		assert.Len(t, b.script.attempts, 2)
 	}
 }
+
+// TestOnlyModelIsLargeEnough guards against poor answers of the smallest model where no larger one may replace them, and
+// against the cost of the largest where one may.
+func TestOnlyModelIsLargeEnough(t *testing.T) {
+	for name, c := range map[string]struct {
+		kind                  routing.Kind
+		isResumable, isSolved bool
+		maxAttempts           int
+		model                 string
+	}{
+		"may run once":                     {routing.Streaming, false, false, 3, "large"},
+		"call that may run once":           {routing.NonIdempotent, false, false, 3, "large"},
+		"may run once, small is enough":    {routing.Streaming, false, true, 3, "small"},
+		"one attempt":                      {routing.Streaming, true, false, 1, "large"},
+		"may run again":                    {routing.Streaming, true, false, 3, "small"},
+		"idempotent":                       {routing.Idempotent, false, false, 3, "small"},
+		"idempotent, but only one attempt": {routing.Idempotent, false, false, 1, "large"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := newSizedRoute(c.kind, c.isResumable, streams(90, 1, 2, nil))
+			b.limitAttempts(c.kind, c.isResumable, c.maxAttempts)
+			if c.isSolved {
+				b.trustSmallModel()
+			}
+			b.serve("/chat/")
+			require.Len(t, b.script.attempts, 1)
+			assert.Equal(t, c.model, b.script.attempts[0].Model)
+		})
+	}
+}
+
+// TestCompleteAnswerOfLowConfidenceIsReplaced guards against idempotent calls that keep the poor answer of the smallest
+// model because it is no stream.
+func TestCompleteAnswerOfLowConfidenceIsReplaced(t *testing.T) {
+	poor := func(context.Context, *Attempt) (Answer, error) {
+		return &fakeAnswer{head: Head{Status: 200, Confidence: 10}, body: "poor"}, nil
+	}
+	b := newSizedRoute(routing.Idempotent, false, poor, answers(200, "good"))
+	assert.Equal(t, "good", b.serve("/chat/").text)
+	assert.Equal(t, "large", b.script.attempts[1].Model)
+}
--- a/internal/modeltier/modeltier.go
+++ b/internal/modeltier/modeltier.go
@@ -54,13 +54,27 @@
 
 // threshold returns the confidence from which an answer is kept at a utilization.
 func threshold(utilization float64) int {
-	pressure := min(1, max(0, (utilization-rampStart)/(rampEnd-rampStart)))
-	return maxThreshold - int(pressure*(maxThreshold-minThreshold))
+	return maxThreshold - int(pressure(utilization)*(maxThreshold-minThreshold))
 }
 
-// First returns the index of the model to ask first.
+// pressure returns how far a utilization is between rampStart and rampEnd, from 0 to 1.
+func pressure(utilization float64) float64 {
+	return min(1, max(0, (utilization-rampStart)/(rampEnd-rampStart)))
+}
+
+// First returns the index of the model to ask first, if its answer can be replaced.
 func First(tiers []Tier) int { return 0 }
 
+// Only returns the index of the model to ask where its answer can't be replaced: the largest, unless the smallest is
+// sufficient. As the servers fill up, fewer requests get the largest, like those that are escalated. draw is a random
+// number in [0, 1).
+func Only(tiers []Tier, isSufficient bool, utilization, draw float64) int {
+	if isSufficient || draw < max(exploration, pressure(utilization)) {
+		return 0
+	}
+	return len(tiers) - 1
+}
+
 // Next returns the index of the model to escalate to; ok is false to keep the
 // answer. Models between the smallest and the largest are skipped, because they
 // answer few of the requests that the smallest can't.
