quarantine: Read the stored contents again until the table was read once

What callers would see, on the own interface: contents that crash servers run again after a restart of all instances during which the table is away.

Cause: the table was read once, at the start.

Change: it is read again every 2 s on average until that succeeds.

Evidence: TestStoredContentsAreLoadedOnceTheTableIsBack failed before and passes. A test of dispatch checks a length before it indexes.

--- a/internal/dispatch/runsonce_test.go
+++ b/internal/dispatch/runsonce_test.go
@@ -154,5 +154,6 @@
 	}
 	b := newSizedRoute(routing.Idempotent, false, poor, answers(200, "good"))
 	assert.Equal(t, "good", b.serve("/chat/").text)
+	require.Len(t, b.script.attempts, 2)
 	assert.Equal(t, "large", b.script.attempts[1].Model)
 }
--- a/internal/quarantine/quarantine_test.go
+++ b/internal/quarantine/quarantine_test.go
@@ -253,3 +253,26 @@
 		_, _ = decodeSuspects(body)
 	})
 }
+
+// TestStoredContentsAreLoadedOnceTheTableIsBack guards against contents that crash servers and are forgotten because the table was
+// away when all instances started: they would crash two servers more.
+func TestStoredContentsAreLoadedOnceTheTableIsBack(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
+		f := newFleet(t, 2)
+		crashOnce(f.instances[0], "s1", culprit)
+		crashOnce(f.instances[1], "s2", culprit)
+		synctest.Wait()
+		restarted := &testFleet{network: membus.New(), table: f.table}
+		table := f.table.(*memtable.Table)
+		table.SetFaults(memtable.Faults{Down: true})
+		for range 2 {
+			restarted.add(t)
+		}
+		time.Sleep(2 * syncInterval)
+		table.SetFaults(memtable.Faults{})
+		time.Sleep(2 * loadRetry)
+		for _, q := range restarted.instances {
+			require.True(t, q.Check(culprit).Quarantined)
+		}
+	})
+}
--- a/internal/quarantine/sync.go
+++ b/internal/quarantine/sync.go
@@ -13,6 +13,8 @@
 const (
 	// syncInterval is the average time between two rounds of Run.
 	syncInterval = 20 * time.Second
+	// loadRetry is the average time after which a table that was unavailable is read again.
+	loadRetry = 2 * time.Second
 	// startPulls is the number of peers asked for records when an instance starts.
 	startPulls = 3
 	// pullTimeout bounds the wait for one peer.
@@ -24,13 +26,13 @@
 )
 
 // Run synchronizes the records with the peers and the table until ctx ends. It
-// loads both at the start, registers suspects in flight with the arbiters, renews
+// loads both at the start, the table until it was read once, registers suspects in flight with the arbiters, renews
 // slots, pulls from a random peer to recover lost messages, and stores quarantined
 // contents, so that they survive a restart of all instances.
 func (q *Quarantine) Run(ctx context.Context) {
-	q.load(ctx)
+	isLoaded := q.load(ctx)
 	q.pull(ctx, startPulls)
-	timer := time.NewTimer(q.jittered(syncInterval))
+	timer := time.NewTimer(q.jittered(loadRetry))
 	defer timer.Stop()
 	for {
 		select {
@@ -41,9 +43,14 @@
 			q.persist(ctx)
 		case <-timer.C:
 			q.holdSlots(ctx)
+			isLoaded = isLoaded || q.load(ctx)
 			q.pull(ctx, 1)
 			q.persist(ctx)
-			timer.Reset(q.jittered(syncInterval))
+			if isLoaded {
+				timer.Reset(q.jittered(syncInterval))
+			} else {
+				timer.Reset(q.jittered(loadRetry))
+			}
 		}
 	}
 }
@@ -156,17 +163,17 @@
 	}
 }
 
-// load reads the stored contents. If the table is unavailable, only the records of
-// the peers are used.
-func (q *Quarantine) load(ctx context.Context) {
+// load reads the stored contents, and reports whether it has read them all. While the table is unavailable, only the
+// records of the peers are used.
+func (q *Quarantine) load(ctx context.Context) bool {
 	if q.table == nil {
-		return
+		return true
 	}
 	after := ""
 	for {
 		rows, err := q.table.Scan(ctx, rowPrefix, after, rowsPerScan)
 		if err != nil || len(rows) == 0 {
-			return
+			return err == nil
 		}
 		for _, row := range rows {
 			q.loadRow(ctx, row)
