gateway: Check a content again after the wait in the queue, and before a resume

What callers would see, on the own interface: a content that crashes servers crashes one more, because it was quarantined while its request waited, or because its interrupted stream was resumed.

Cause: place checked the content before the wait only; a resume did not check it.

Change: both check it as the last step. A stream is not resumed at a server that crashed while it ran the content.

Evidence: TestContentQuarantinedWhileItWaitsIsNotSent and TestStreamOfAQuarantinedContentIsNotResumed failed before and pass.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -84,15 +84,15 @@
 	return nil
 }
 
-// place waits in the fair queue and picks a server. The permission is checked
-// again after the wait, because the settings may have changed meanwhile.
+// place waits in the fair queue and picks a server. The permission and the content
+// are checked again after the wait: the settings may have changed meanwhile, and the
+// content may have crashed servers.
 func (w *work) place(ctx context.Context) (*placement, *apierror.Error) {
 	if refusal := w.permit(); refusal != nil {
 		return nil, refusal
 	}
-	verdict := w.r.gateway.Suspects.Check(w.content)
-	if verdict.Quarantined {
-		return nil, quarantineRefusal(verdict.Until)
+	if _, refusal := w.checkContent(); refusal != nil {
+		return nil, refusal
 	}
 	p := &placement{work: w, id: w.r.nextAttemptID(), started: time.Now()}
 	p.record = w.r.record.attempt(p.id, w.target())
@@ -103,7 +103,7 @@
 		return nil, refusal
 	}
 	p.grant = grant
-	if refusal := p.choose(ctx, verdict); refusal != nil {
+	if refusal := p.choose(ctx); refusal != nil {
 		grant.Release(0)
 		// End releases the slot that suspect content may have taken.
 		w.r.gateway.Suspects.End(p.id, false)
@@ -114,6 +114,16 @@
 	return p, nil
 }
 
+// checkContent returns whether and where the content may be sent, or the refusal of
+// one that is quarantined.
+func (w *work) checkContent() (quarantine.Verdict, *apierror.Error) {
+	verdict := w.r.gateway.Suspects.Check(w.content)
+	if verdict.Quarantined {
+		return verdict, quarantineRefusal(verdict.Until)
+	}
+	return verdict, nil
+}
+
 func quarantineRefusal(until time.Time) *apierror.Error {
 	return apierror.New(http.StatusUnprocessableEntity, apierror.CodeQuarantined,
 		"this content crashed backend servers and is quarantined").WithRetryAfter(time.Until(until))
@@ -163,11 +173,15 @@
 	return apierror.New(statusCallerDisconnected, apierror.CodeInterrupted, "the caller went away")
 }
 
-// choose checks the permission after the wait and picks the server.
-func (p *placement) choose(ctx context.Context, verdict quarantine.Verdict) *apierror.Error {
+// choose checks the permission and the content after the wait and picks the server.
+func (p *placement) choose(ctx context.Context) *apierror.Error {
 	if refusal := p.work.permit(); refusal != nil {
 		return refusal
 	}
+	verdict, refusal := p.work.checkContent()
+	if refusal != nil {
+		return refusal
+	}
 	server, refusal := p.pick(append(verdict.Avoid, p.work.excluded...))
 	if refusal != nil {
 		return refusal
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"net/http"
+	"slices"
 	"strconv"
 	"time"
 
@@ -111,6 +112,15 @@
 	if refusal != nil {
 		return nil, refusal
 	}
+	// A stream that was interrupted by a crash does not go on where it may have caused it.
+	verdict, refusal := l.work.checkContent()
+	if refusal == nil && slices.Contains(verdict.Avoid, l.placement.server.ID) {
+		refusal = interruptedRefusal()
+	}
+	if refusal != nil {
+		grant.Release(0)
+		return nil, refusal
+	}
 	p := &placement{work: l.work, id: l.c.nextAttemptID(), server: l.placement.server, grant: grant, started: time.Now()}
 	p.record = l.c.record.attempt(p.id, l.work.target())
 	p.begin()
