httpanswer: A reset that a check of the socket was told of is no end

What callers would see: part of a stream without a length as a complete one, when its server resets the connection and the check of a wait that is over comes before the read: within some microseconds, or after the instance was suspended.

Cause: the kernel reports a reset once. The check whether bytes wait in the socket (MSG_PEEK) took the report, and the read got the same end as after a proper close.

Change: the check is a method of httpanswer.Conn, which keeps the error under the lock that Read takes before it reports an end.

--- a/internal/httpanswer/conn.go
+++ b/internal/httpanswer/conn.go
@@ -35,6 +35,8 @@
 	// hasAnswer is set if bytes were read since the request began; for the first one, since the
 	// connection was made.
 	hasAnswer bool
+	// lost is the error of the connection that IsQuiet was told; nil for none.
+	lost error
 	// hasEnded is set once the end of the connection was read, isClosed by Close.
 	hasEnded, isClosed bool
 }
@@ -121,6 +123,9 @@
 	defer c.mu.Unlock()
 	c.hasAnswer = c.hasAnswer || n > 0
 	c.hasEnded = c.hasEnded || err == io.EOF
+	if err == io.EOF && c.lost != nil {
+		return n, errors.Wrap(c.lost, "the connection was lost")
+	}
 	if err != io.EOF || !c.hasAnswer {
 		return n, err
 	}
