httpanswer: Take no answer whose status line names another protocol than HTTP/1

What callers saw: answers of servers with HTTP/0.9, HTTP/2.0 or HTTP/9.9 in the status line, also refusals that promise "not run".

Cause: package net/http takes any version, and CheckHead did not look at it. The major version says how a head is to be read.

Change: CheckHead takes HTTP/1.x, and HTTP/2 only over a TLS connection that has agreed on it.

--- a/internal/backend/brokenhead_test.go
+++ b/internal/backend/brokenhead_test.go
@@ -33,7 +33,7 @@
 var attemptID = HeaderAttemptID + ": " + rawanswer.Echo(HeaderAttemptID) + "\r\n"
 
 // TestInvalidStatusIsNoAnswer guards against an answer, or a promise that the request did not run,
-// whose status HTTP does not know.
+// whose status or version HTTP/1.1 does not know.
 func TestInvalidStatusIsNoAnswer(t *testing.T) {
 	const body = "Content-Length: 2\r\n\r\nok"
 	for _, status := range []string{"000", "099", "600", "999", "+20", "-00", "0", "20", "2000", "20x"} {
@@ -41,6 +41,10 @@
 			requireUnknown(t, "HTTP/1.1 "+status+" OK\r\n"+headers+body)
 		}
 	}
+	for _, version := range []string{"0.9", "2.0", "3.0", "9.9"} {
+		requireUnknown(t, "HTTP/"+version+" 200 OK\r\n"+attemptID+body)
+		requireUnknown(t, "HTTP/"+version+" 503 Full\r\n"+attemptID+HeaderNotRun+": true\r\n"+body)
+	}
 	requireUnknown(t, "HTTP/1.1 101 Switching Protocols\r\n"+attemptID+"Connection: Upgrade\r\nUpgrade: x\r\n\r\n")
 }
 
@@ -102,6 +106,7 @@
 	for _, head := range []string{
 		"HTTP/1.1 200 OK\r\n" + attemptID + "Content-Length: 2\r\n\r\nok",
 		"HTTP/1.1 200\r\n" + attemptID + "Content-Length: 2\r\n\r\nok",
+		"HTTP/1.9 200 OK\r\n" + attemptID + "Content-Length: 2\r\n\r\nok",
 		"HTTP/1.0 200 OK\r\n" + attemptID + "Content-Length: 2\r\n\r\nok",
 		"HTTP/1.1 200 OK\r\n" + attemptID + "X!#$%&'*+-.^_`|~9: 1\r\nx-lower:\t\"caf\xe9\"\t\r\nX-Empty:\r\nContent-Length: 2\r\n\r\nok",
 		"HTTP/1.1 103 Early Hints\r\nLink: </x>\r\n\r\nHTTP/1.1 200 OK\r\n" + attemptID + "Content-Length: 2\r\n\r\nok",
--- a/internal/httpanswer/head.go
+++ b/internal/httpanswer/head.go
@@ -23,6 +23,8 @@
 // end if the trailer is malformed.
 func CheckHead(r *http.Response) error {
 	switch {
+	case r.ProtoMajor != 1 && !isHTTP2(r):
+		return errors.WithMessagef(ErrMalformed, "protocol %q", r.Proto)
 	case r.StatusCode < http.StatusContinue, r.StatusCode > maxStatus:
 		return errors.WithMessagef(ErrMalformed, "status %q", r.Status)
 	case r.StatusCode == http.StatusSwitchingProtocols && !asksToSwitch(r.Request):
@@ -70,4 +72,9 @@
 	return n, err
 }
 
+// isHTTP2 reports whether a response came over HTTP/2, which has no status line.
+func isHTTP2(r *http.Response) bool {
+	return r.ProtoMajor == 2 && r.TLS != nil && r.TLS.NegotiatedProtocol == "h2"
+}
+
 func asksToSwitch(r *http.Request) bool { return r != nil && r.Header.Get("Upgrade") != "" }
