--- a/internal/quarantine/contentrecords_test.go
+++ b/internal/quarantine/contentrecords_test.go
@@ -415,8 +415,10 @@
 		assert.Contains(t, rows, culprit.String())
 		assert.LessOrEqual(t, f.store.mostWrites(), 2*fleetWritesAllowed)
 		for _, d := range f.trackers {
+			d.mu.Lock()
 			assert.LessOrEqual(t, len(d.refused), maxFollowed)
 			assert.LessOrEqual(t, d.contents.Len(), maxContents)
+			d.mu.Unlock()
 		}
 	})
 }
