quarantine: Give a trial back whose request reached no server

Cause: a trial counted when it was acquired, also if the request was then refused as not run.

Change: such a request gives its trial back, by the same conditional write; it may be acquired again after 5 s. A record with fewer trials is taken over if it is newer in the same era; after a restore the trials that the instances know still hold.

Evidence: TestTrialThatReachesNoServerIsNotUsedUp and TestTrialRefusedByFullServersIsGivenBack pass and fail without the call; the tests of restored stores pass.

--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -69,6 +69,8 @@
 	// Admit returns how long a content is still refused; zero if it may be sent. With isTrial it may be sent
 	// once, as a trial of a refused content.
 	Admit(ctx context.Context, content quarantine.Fingerprint) (refusedFor time.Duration, isTrial bool)
+	// ReturnTrial gives a trial back whose request reached no server.
+	ReturnTrial(content quarantine.Fingerprint)
 	// Disconnected records that a server process disconnected at a time while running a content. The
 	// attempt began at started.
 	Disconnected(content quarantine.Fingerprint, server fleet.Process, started, at time.Time)
@@ -216,6 +218,9 @@
 	case refusal != nil && d.ended.Err() != nil:
 		refusal.Reason, refusal.RetryAfter = Stopping, stoppingRetryAfter
 	}
+	if refusal != nil && x.isContentTrial && x.execution == apierror.NotRun {
+		d.Disconnects.ReturnTrial(x.fingerprint())
+	}
 	x.finish(refusal)
 }
 
--- a/internal/dispatch/poison_test.go
+++ b/internal/dispatch/poison_test.go
@@ -9,6 +9,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/basilrail/basilrail/internal/apierror"
+	"github.com/basilrail/basilrail/internal/bubble"
 	"github.com/basilrail/basilrail/internal/modeltier"
 	"github.com/basilrail/basilrail/internal/peers/membus"
 	"github.com/basilrail/basilrail/internal/poison"
@@ -97,6 +98,31 @@
 	}
 }
 
+// TestTrialRefusedByFullServersIsGivenBack guards against a sound content that stays refused because its trial found no room.
+func TestTrialRefusedByFullServersIsGivenBack(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
+		lost, full := fails(retry.OutcomeDisconnected), fails(retry.OutcomeNoCapacity)
+		b := newSetup(lost, lost, lost, full, full, full, answers(200, "served"))
+		for range 3 {
+			b.serve("/book/")
+			time.Sleep(time.Second)
+		}
+		assert.Equal(t, Quarantined, b.serve("/book/").refusal.Reason)
+		b.passUntilConfirmed(30 * time.Second)
+		assert.Equal(t, Overloaded, b.serve("/book/").refusal.Reason)
+		assert.Equal(t, Quarantined, b.serve("/book/").refusal.Reason)
+		b.passUntilConfirmed(10 * time.Second)
+		assert.Equal(t, "served", b.serve("/book/").text)
+		assert.True(t, b.d.Disconnects.Empty())
+	})
+}
+
+// passUntilConfirmed lets time pass; the configuration stays confirmed.
+func (b *setup) passUntilConfirmed(d time.Duration) {
+	time.Sleep(d)
+	b.state.Confirm(b.now)
+}
+
 // TestEscalationDoesNotAcquitTheContent guards against a request that crashes servers and is never refused, because the small
 // model's head, which comes before the crash, counted as an answer (BUDGET).
 func TestEscalationDoesNotAcquitTheContent(t *testing.T) {
--- a/internal/quarantine/contentrecords.go
+++ b/internal/quarantine/contentrecords.go
@@ -118,6 +118,16 @@
 	return 0, true
 }
 
+// ReturnTrial gives back the trial of a content whose request reached no server.
+func (d *DisconnectTracker) ReturnTrial(fp Fingerprint) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if state := d.peek(fp); state != nil && state.standing != nil {
+		d.ledger.ReturnTrial(state.standing)
+		d.signal()
+	}
+}
+
 // dueTrial returns the record that acquires a trial of a content if one is due, and otherwise how long the content is
 // refused.
 func (d *DisconnectTracker) dueTrial(fp Fingerprint) (change refusal.Change, refusedFor time.Duration, isDue bool) {
--- a/internal/quarantine/contentrecords_test.go
+++ b/internal/quarantine/contentrecords_test.go
@@ -366,6 +366,42 @@
 	}
 }
 
+// TestTrialThatReachesNoServerIsNotUsedUp guards against a sound content that stays refused because its trials came while no
+// server had room.
+func TestTrialThatReachesNoServerIsNotUsedUp(t *testing.T) {
+	for name, isStored := range map[string]bool{"stored": true, "in memory": false} {
+		t.Run(name, func(t *testing.T) {
+			bubble.Test(t, func(t *testing.T) {
+				f := newContentFleet(t, 3)
+				if !isStored {
+					f.trackers = f.trackers[:1]
+					f.trackers[0].ledger.Store = nil
+				}
+				f.crash()
+				unused := 0
+				for i := range 300 {
+					d := f.trackers[i%len(f.trackers)]
+					if wait, isTrial := d.Admit(t.Context(), culprit); wait == 0 {
+						assert.True(t, isTrial)
+						unused++
+						d.ReturnTrial(culprit)
+					}
+					time.Sleep(time.Second)
+				}
+				assert.Greater(t, unused, 10)
+				if isStored {
+					assert.Less(t, f.store.mostWrites(), 10)
+				}
+				for i := range 1000 {
+					f.send(i)
+					time.Sleep(5 * time.Second)
+				}
+				assert.Equal(t, disconnectLimit+maxTrials, f.crashes, "the trials that are used count")
+			})
+		})
+	}
+}
+
 // TestNoTrialWhileTheStoreIsAway guards against a content that passes at each instance because none can ask the others
 // through the store (BUDGET), and against requests that are held meanwhile.
 func TestNoTrialWhileTheStoreIsAway(t *testing.T) {
--- a/internal/refusal/ledger.go
+++ b/internal/refusal/ledger.go
@@ -18,6 +18,8 @@
 	saveRetry = 2 * time.Second
 	// trialTolerance is the error with which instances know the time of a crash.
 	trialTolerance = 2 * time.Second
+	// returnedTrialDelay is the time after which a trial that reached no server may be acquired again.
+	returnedTrialDelay = 5 * time.Second
 	// urgentWriters is the number of instances that may write at once what they found.
 	urgentWriters = 8
 	// fleetWritesPerSecond and minWriteInterval bound the writes of the fleet and of one instance.
@@ -64,6 +66,8 @@
 	triedAt  time.Time
 	// isLocal is set for a refusal that is not stored.
 	isLocal bool
+	// unusedTrial is the number of the trial that is to be given back; zero for none.
+	unusedTrial int
 }
 
 // Open begins a refusal. In a small fleet the instance that found it writes it at once, and the others only if that one
@@ -169,14 +173,32 @@
 	}
 }
 
+// ReturnTrial gives the last trial back: its request reached no server. It may soon be acquired again.
+func (l *Ledger) ReturnTrial(s *Standing) {
+	if l.Store == nil || s.isLocal {
+		s.Record = l.withoutTrial(s.Record)
+		return
+	}
+	s.unusedTrial = s.Record.Trials
+}
+
+// withoutTrial returns the record with one trial less.
+func (l *Ledger) withoutTrial(r Record) Record {
+	// Without a clock no trial was acquired.
+	now, _ := l.Now()
+	r.Trials, r.NextTrial = max(r.Trials-1, 0), now+returnedTrialDelay
+	return r
+}
+
 // Follow takes over a stored record. A restored store may bring back a record with fewer trials than were made; the
-// record is then written again.
+// record is then written again. In the same era an instance has given a trial back.
 func (l *Ledger) Follow(s *Standing, r Record) {
 	s.storedTrials, s.isLocal = r.Trials, false
 	if s.IsStored() && r.Position == s.Record.Position {
 		return
 	}
-	if r.Trials < s.Record.Trials {
+	isRestored := r.Position.Era != s.Record.Position.Era || r.Position.Before(s.Record.Position)
+	if r.Trials < s.Record.Trials && isRestored {
 		s.Record.Position = r.Position
 		return
 	}
@@ -191,8 +213,9 @@
 type Change struct {
 	standing *Standing
 	record   Record
-	isTrial  bool
-	isStored bool
+	// isTrial is set if the change acquires a trial, isReturn if it gives one back.
+	isTrial, isReturn bool
+	isStored          bool
 }
 
 // IsSaveDue reports whether the record is to be written now.
@@ -204,16 +227,23 @@
 	if !s.IsStored() {
 		return s.Record.Expires != 0 && time.Since(s.found) >= s.saveAfter
 	}
-	return s.Record.Trials > s.storedTrials
+	return s.Record.Trials > s.storedTrials || s.isTrialUnused()
 }
 
+// isTrialUnused reports whether the last trial is to be given back, and no other one was acquired since.
+func (s *Standing) isTrialUnused() bool { return s.unusedTrial > 0 && s.Record.Trials == s.unusedTrial }
+
 // DueSave returns the record if it is to be written now. Commit must follow.
 func (l *Ledger) DueSave(s *Standing) (c Change, ok bool) {
 	if !l.IsSaveDue(s) {
 		return c, false
 	}
 	s.isSaving, s.triedAt = true, time.Now()
-	return Change{standing: s, record: s.Record, isStored: true}, true
+	c = Change{standing: s, record: s.Record, isStored: true}
+	if s.IsStored() && s.isTrialUnused() {
+		c.record, c.isReturn = l.withoutTrial(s.Record), true
+	}
+	return c, true
 }
 
 // DueTrial returns the record with one trial more if a trial may be acquired now. Commit must follow: the trial is
@@ -257,6 +287,9 @@
 		// Another instance wrote it; the feed of the table brings its row.
 	case err != nil:
 		l.Failed(s.Record.Key, err)
+	case c.isReturn:
+		s.unusedTrial, s.storedTrials = 0, c.record.Trials
+		s.Record.Trials, s.Record.NextTrial = c.record.Trials, c.record.NextTrial
 	case c.isTrial && c.record.Trials > s.Record.Trials:
 		s.Record.Trials, s.Record.NextTrial, s.Record.Expires = c.record.Trials, c.record.NextTrial, c.record.Expires
 		s.storedTrials = c.record.Trials
