refusal: A slow store uses up no trial

Cause: a write without an answer in time may have taken effect; its request is refused, and the trial counted.

Change: the instance remembers the record it wrote, and gives the trial back once the feed shows that it took effect. A trial that another instance acquired has another time and stays.

Evidence: TestSlowStoreUsesUpNoTrial fails without the change and passes.

--- a/internal/quarantine/contentrecords_test.go
+++ b/internal/quarantine/contentrecords_test.go
@@ -22,11 +22,13 @@
 
 var errDown = errors.New("the store is down")
 
-// contentStore is a store of refused contents. A call takes 5 ms.
+// contentStore is a store of refused contents.
 type contentStore struct {
 	began  time.Time
 	mu     sync.Mutex
 	isDown bool
+	// delay is how long a call takes.
+	delay  time.Duration
 	era    uint64
 	last   uint64
 	rows   map[string]refusal.Record
@@ -34,11 +36,37 @@
 }
 
 func newContentStore() *contentStore {
-	return &contentStore{began: time.Now(), era: 1, rows: make(map[string]refusal.Record)}
+	return &contentStore{began: time.Now(), delay: 5 * time.Millisecond, era: 1, rows: make(map[string]refusal.Record)}
 }
 
-func (s *contentStore) change(r refusal.Record, apply func()) error {
-	time.Sleep(5 * time.Millisecond)
+// change changes a row once the call's time is over. A caller that waits no longer doesn't learn of it.
+func (s *contentStore) change(ctx context.Context, r refusal.Record, apply func()) error {
+	result := make(chan error, 1)
+	go func() {
+		time.Sleep(s.callTime())
+		result <- s.changeNow(r, apply)
+	}()
+	select {
+	case err := <-result:
+		return err
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+func (s *contentStore) callTime() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.delay
+}
+
+func (s *contentStore) setCallTime(d time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.delay = d
+}
+
+func (s *contentStore) changeNow(r refusal.Record, apply func()) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.writes = append(s.writes, time.Now())
@@ -54,16 +82,16 @@
 }
 
 // Save implements refusal.Store.
-func (s *contentStore) Save(_ context.Context, r refusal.Record) error {
-	return s.change(r, func() {
+func (s *contentStore) Save(ctx context.Context, r refusal.Record) error {
+	return s.change(ctx, r, func() {
 		r.Position = storefeed.Position{Era: s.era, Revision: s.last}
 		s.rows[r.Key] = r
 	})
 }
 
 // Remove implements refusal.Store.
-func (s *contentStore) Remove(_ context.Context, r refusal.Record) error {
-	return s.change(r, func() { delete(s.rows, r.Key) })
+func (s *contentStore) Remove(ctx context.Context, r refusal.Record) error {
+	return s.change(ctx, r, func() { delete(s.rows, r.Key) })
 }
 
 // Now implements refusal.Store.
@@ -402,6 +430,31 @@
 	}
 }
 
+// TestSlowStoreUsesUpNoTrial guards against a sound content that stays refused because the store took longer to acquire its
+// trials than a request waits.
+func TestSlowStoreUsesUpNoTrial(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
+		f := newContentFleet(t, 3)
+		f.crash()
+		f.store.setCallTime(2 * trialWait)
+		for i := range 240 {
+			assert.False(t, f.send(i))
+			time.Sleep(time.Second)
+		}
+		f.store.setCallTime(5 * time.Millisecond)
+		for i := range 10 {
+			f.send(i)
+			time.Sleep(time.Second)
+		}
+		assert.Equal(t, disconnectLimit+1, f.crashes, "a trial follows soon")
+		for i := range 1000 {
+			f.send(i)
+			time.Sleep(5 * time.Second)
+		}
+		assert.Equal(t, disconnectLimit+maxTrials, f.crashes)
+	})
+}
+
 // TestNoTrialWhileTheStoreIsAway guards against a content that passes at each instance because none can ask the others
 // through the store (BUDGET), and against requests that are held meanwhile.
 func TestNoTrialWhileTheStoreIsAway(t *testing.T) {
--- a/internal/refusal/ledger.go
+++ b/internal/refusal/ledger.go
@@ -20,6 +20,8 @@
 	trialTolerance = 2 * time.Second
 	// returnedTrialDelay is the time after which a trial that reached no server may be acquired again.
 	returnedTrialDelay = 5 * time.Second
+	// storedTimeError is the error of a stored time, which is written in milliseconds.
+	storedTimeError = 10 * time.Microsecond
 	// urgentWriters is the number of instances that may write at once what they found.
 	urgentWriters = 8
 	// fleetWritesPerSecond and minWriteInterval bound the writes of the fleet and of one instance.
@@ -66,8 +68,8 @@
 	triedAt  time.Time
 	// isLocal is set for a refusal that is not stored.
 	isLocal bool
-	// unusedTrial is the number of the trial that is to be given back; zero for none.
-	unusedTrial int
+	// unused is the record of a trial that is to be given back; zero for none.
+	unused Record
 }
 
 // Open begins a refusal. In a small fleet the instance that found it writes it at once, and the others only if that one
@@ -179,7 +181,7 @@
 		s.Record = l.withoutTrial(s.Record)
 		return
 	}
-	s.unusedTrial = s.Record.Trials
+	s.unused = s.Record
 }
 
 // withoutTrial returns the record with one trial less.
@@ -230,8 +232,12 @@
 	return s.Record.Trials > s.storedTrials || s.isTrialUnused()
 }
 
-// isTrialUnused reports whether the last trial is to be given back, and no other one was acquired since.
-func (s *Standing) isTrialUnused() bool { return s.unusedTrial > 0 && s.Record.Trials == s.unusedTrial }
+// isTrialUnused reports whether the last trial is the one to be given back. One that another instance has acquired has
+// another time.
+func (s *Standing) isTrialUnused() bool {
+	return s.unused.Trials > 0 && s.Record.Trials == s.unused.Trials &&
+		(s.Record.NextTrial-s.unused.NextTrial).Abs() < storedTimeError
+}
 
 // DueSave returns the record if it is to be written now. Commit must follow.
 func (l *Ledger) DueSave(s *Standing) (c Change, ok bool) {
@@ -287,8 +293,12 @@
 		// Another instance wrote it; the feed of the table brings its row.
 	case err != nil:
 		l.Failed(s.Record.Key, err)
+		if c.isTrial {
+			// The write may have taken effect, or do so later; its request is refused.
+			s.unused = c.record
+		}
 	case c.isReturn:
-		s.unusedTrial, s.storedTrials = 0, c.record.Trials
+		s.unused, s.storedTrials = Record{}, c.record.Trials
 		s.Record.Trials, s.Record.NextTrial = c.record.Trials, c.record.NextTrial
 	case c.isTrial && c.record.Trials > s.Record.Trials:
 		s.Record.Trials, s.Record.NextTrial, s.Record.Expires = c.record.Trials, c.record.NextTrial, c.record.Expires
