refusal: Count trials and returned ones apart, so that records merge

When the store came back as an older copy right after a trial, an instance that did not know of the trial wrote the record again first, and the one that knew took its record for a trial given back: the content could pass once more.

Cause: the number of trials fell when one was given back, so a record that knew less could not be told from one.

Change: a record holds the trials acquired and those returned; both only grow, and records are merged by the larger of each. A record that is behind what an instance knows is written again.

--- a/internal/quarantine/contentrecords_test.go
+++ b/internal/quarantine/contentrecords_test.go
@@ -522,6 +522,7 @@
 		"empty":                 {},
 		"far in the future":     {From: 1e18, NextTrial: 1e18, Expires: 1e18},
 		"negative trials":       {Trials: -1 << 40},
+		"more returned":         {Trials: 1, Returned: 1 << 40, NextTrial: 1e18},
 		"expired":               {Expires: 1},
 		"before the store":      {From: -1e18, NextTrial: -1e18, Expires: -1e18},
 		"expiry before a trial": {NextTrial: 1e18, Expires: time.Hour + 20*time.Second},
--- a/internal/refusal/ledger.go
+++ b/internal/refusal/ledger.go
@@ -54,11 +54,9 @@
 
 // Standing is a refusal in force.
 type Standing struct {
-	// Record is what is known of the refusal. It may be ahead of the stored record, whose number of trials is
-	// storedTrials.
-	Record       Record
-	storedTrials int
-	crashes      Crashes
+	// Record is what is known of the refusal. It may be ahead of stored, the last record that the store is known to have.
+	Record, stored Record
+	crashes        Crashes
 	// found is when this instance learned of the refusal, and saveAfter how long after that it writes the record,
 	// unless another instance has.
 	found     time.Time
@@ -129,7 +127,7 @@
 		return
 	}
 	r := &s.Record
-	untilNext := l.untilNext(r.Trials)
+	untilNext := l.untilNext(r.used())
 	if r.Expires == 0 {
 		last := now - time.Since(s.crashes.Last)
 		r.From, r.NextTrial, r.Expires = now-time.Since(s.crashes.First), last+untilNext, last+l.Lifetime
@@ -147,7 +145,7 @@
 		return l.FirstTrial
 	}
 	until := s.Record.Expires
-	if s.Record.Trials < l.MaxTrials {
+	if s.Record.used() < l.MaxTrials {
 		until = min(until, s.Record.NextTrial)
 	}
 	return max(until-now, 0)
@@ -162,7 +160,7 @@
 
 // IsTrialDue reports whether a trial may be acquired now.
 func (l *Ledger) IsTrialDue(s *Standing) bool {
-	return !l.IsExpired(s) && s.Record.Trials < l.MaxTrials && l.UntilTrial(s) == 0
+	return !l.IsExpired(s) && s.Record.used() < l.MaxTrials && l.UntilTrial(s) == 0
 }
 
 // Crashed records a further crash. If a trial was due then, it was one, acquired by an instance that stores no records.
@@ -170,7 +168,7 @@
 	l.schedule(s)
 	now, ok := l.Now()
 	crashedAt := now - time.Since(at)
-	if ok && s.Record.Expires != 0 && s.Record.Trials < l.MaxTrials && crashedAt >= s.Record.NextTrial-trialTolerance {
+	if ok && s.Record.Expires != 0 && s.Record.used() < l.MaxTrials && crashedAt >= s.Record.NextTrial-trialTolerance {
 		s.Record = l.withTrial(s.Record, crashedAt)
 	}
 }
@@ -178,37 +176,35 @@
 // ReturnTrial gives the last trial back: its request reached no server. It may soon be acquired again.
 func (l *Ledger) ReturnTrial(s *Standing) {
 	if l.Store == nil || s.isLocal {
-		s.Record = l.withoutTrial(s.Record)
+		s.Record = l.withReturn(s.Record)
 		return
 	}
 	s.unused = s.Record
 }
 
-// withoutTrial returns the record with one trial less.
-func (l *Ledger) withoutTrial(r Record) Record {
+// withReturn returns the record with one trial given back.
+func (l *Ledger) withReturn(r Record) Record {
 	// Without a clock no trial was acquired.
 	now, _ := l.Now()
-	r.Trials, r.NextTrial = max(r.Trials-1, 0), now+returnedTrialDelay
+	r.Returned, r.NextTrial = min(r.Returned+1, r.Trials), now+returnedTrialDelay
 	return r
 }
 
-// Follow takes over a stored record. A restored store may bring back a record with fewer trials than were made; the
-// record is then written again. In the same era an instance has given a trial back.
+// Follow takes over a stored record. A restored store may bring back a record that knows of fewer trials; it is then
+// written again.
 func (l *Ledger) Follow(s *Standing, r Record) {
-	s.storedTrials, s.isLocal = r.Trials, false
+	s.isLocal = false
 	if s.IsStored() && r.Position == s.Record.Position {
 		return
 	}
-	isRestored := r.Position.Era != s.Record.Position.Era || r.Position.Before(s.Record.Position)
-	if r.Trials < s.Record.Trials && isRestored {
-		s.Record.Position = r.Position
-		return
-	}
-	s.Record = r
+	r.Trials = max(r.Trials, 0)
+	r.Returned = min(max(r.Returned, 0), r.Trials)
+	s.stored, s.Record = r, s.Record.merge(r)
+	s.Record.Position = r.Position
 }
 
 // Lost records that the store has no row of the refusal any more, and that nobody removed it.
-func (l *Ledger) Lost(s *Standing) { s.Record.Position, s.storedTrials = storefeed.Position{}, 0 }
+func (l *Ledger) Lost(s *Standing) { s.Record.Position, s.stored = storefeed.Position{}, Record{} }
 
 // Change is a write of a record. It is taken together with the decision to write it, so that it fails if another
 // instance has changed the record since.
@@ -229,7 +225,7 @@
 	if !s.IsStored() {
 		return s.Record.Expires != 0 && time.Since(s.found) >= s.saveAfter
 	}
-	return s.Record.Trials > s.storedTrials || s.isTrialUnused()
+	return s.Record.isAhead(s.stored) || s.isTrialUnused()
 }
 
 // isTrialUnused reports whether the last trial is the one to be given back. One that another instance has acquired has
@@ -247,7 +243,7 @@
 	s.isSaving, s.triedAt = true, time.Now()
 	c = Change{standing: s, record: s.Record, isStored: true}
 	if s.IsStored() && s.isTrialUnused() {
-		c.record, c.isReturn = l.withoutTrial(s.Record), true
+		c.record, c.isReturn = l.withReturn(s.Record), true
 	}
 	return c, true
 }
@@ -298,14 +294,20 @@
 			s.unused = c.record
 		}
 	case c.isReturn:
-		s.unused, s.storedTrials = Record{}, c.record.Trials
-		s.Record.Trials, s.Record.NextTrial = c.record.Trials, c.record.NextTrial
-	case c.isTrial && c.record.Trials > s.Record.Trials:
-		s.Record.Trials, s.Record.NextTrial, s.Record.Expires = c.record.Trials, c.record.NextTrial, c.record.Expires
-		s.storedTrials = c.record.Trials
+		s.unused = Record{}
+		s.takeOver(c.record)
+	case c.isTrial:
+		s.takeOver(c.record)
 	}
 }
 
+// takeOver takes over a record that was written, but for its position.
+func (s *Standing) takeOver(written Record) {
+	position := s.Record.Position
+	s.stored, s.Record = s.stored.merge(written), s.Record.merge(written)
+	s.Record.Position = position
+}
+
 // Remove removes the record of a refusal that was lifted, after a delay. It may be called with or without the owner's
 // lock.
 func (l *Ledger) Remove(r Record, delay time.Duration) {
--- a/internal/refusal/record.go
+++ b/internal/refusal/record.go
@@ -3,6 +3,7 @@
 package refusal
 
 import (
+	"cmp"
 	"context"
 	"time"
 
@@ -20,8 +21,9 @@
 	Key string
 	// From is the time of the first crash. An instance that knows of a later answer rejects the record.
 	From time.Duration
-	// Trials is the number of trials that instances have acquired.
-	Trials int
+	// Trials is the number of trials that instances have acquired, and Returned the number of those whose requests reached
+	// no server. Both only grow, so that records can be merged.
+	Trials, Returned int
 	// NextTrial is when the next one may be acquired, and Expires when the refusal ends; zero while that is unknown.
 	NextTrial, Expires time.Duration
 	// Position is the position of the stored row; zero if there is none.
@@ -58,9 +60,27 @@
 	return delay
 }
 
+// used returns the number of trials that may have reached a server.
+func (r Record) used() int { return r.Trials - r.Returned }
+
+// isAhead reports whether a record knows of trials that another one doesn't.
+func (r Record) isAhead(other Record) bool {
+	return r.Trials > other.Trials || r.Returned > other.Returned
+}
+
+// merge returns a record with what both know. The times are those of the one with more trials.
+func (r Record) merge(other Record) Record {
+	merged := r
+	if cmp.Or(cmp.Compare(other.Trials, r.Trials), cmp.Compare(other.Returned, r.Returned)) >= 0 {
+		merged = other
+	}
+	merged.Trials, merged.Returned = max(r.Trials, other.Trials), max(r.Returned, other.Returned)
+	return merged
+}
+
 // withTrial returns the record with one trial more, which is acquired at a time of the store's clock.
 func (t Terms) withTrial(r Record, clock time.Duration) Record {
 	r.Trials++
-	r.NextTrial, r.Expires = clock+t.untilNext(r.Trials), clock+t.Lifetime
+	r.NextTrial, r.Expires = clock+t.untilNext(r.used()), clock+t.Lifetime
 	return r
 }
