httpanswer: Name the version of HTTP in the answers of the stand-in transports

Cause: three stand-in transports return a response without a version, which no transport that reads a status line does.

Change: they name HTTP/1.1, as a server does.

Evidence: go test ./internal/measure ./internal/modelcommands ./internal/serverwatch failed before and passes.

--- a/internal/measure/retrystorm.go
+++ b/internal/measure/retrystorm.go
@@ -137,7 +137,7 @@
 func (f *stormFleet) RoundTrip(req *http.Request) (*http.Response, error) {
 	process, _ := f.byID[req.URL.Host].process()
 	body, err := json.Marshal(map[string]string{"instance": process})
-	return &http.Response{StatusCode: http.StatusOK, Body: io.NopCloser(bytes.NewReader(body))}, err
+	return &http.Response{StatusCode: http.StatusOK, Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1, Body: io.NopCloser(bytes.NewReader(body))}, err
 }
 
 func (f *stormFleet) String() string {
--- a/internal/modelcommands/modelcommands_test.go
+++ b/internal/modelcommands/modelcommands_test.go
@@ -68,7 +68,7 @@
 		delete(e.loaded[at], cmd.Version)
 	}
 	e.fencing[at] = max(e.fencing[at], cmd.Fencing)
-	return &http.Response{StatusCode: status, Body: io.NopCloser(strings.NewReader("{}"))}, nil
+	return &http.Response{StatusCode: status, Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1, Body: io.NopCloser(strings.NewReader("{}"))}, nil
 }
 
 // versions returns the versions that a server has loaded.
--- a/internal/serverwatch/watcher_test.go
+++ b/internal/serverwatch/watcher_test.go
@@ -70,7 +70,7 @@
 		return nil, err
 	}
 	body, err := json.Marshal(s.reports[req.URL.Host])
-	return &http.Response{StatusCode: http.StatusOK, Body: io.NopCloser(strings.NewReader(string(body)))}, err
+	return &http.Response{StatusCode: http.StatusOK, Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1, Body: io.NopCloser(strings.NewReader(string(body)))}, err
 }
 
 // fleet is a set of instances that watch the same servers.
