--- a/review/standin3/drill.go
+++ b/review/standin3/drill.go
@@ -14,7 +14,7 @@
 	// rewriteAfter when the operator has written its configuration again.
 	drillAfter   = 6 * time.Second
 	drillAway    = time.Second
-	rewriteAfter = 4 * time.Second
+	rewriteAfter = 3 * time.Second
 )
 
 // runDrill brings the store back from a copy that is older than a revocation, while an instance
