review: Case 13, a deadly part with a long id is never refused

Seen: a part of prompts that crashes servers, with an id of 128 bits, reaches servers without end (BUDGET). With ids of 8 or 16 hexadecimal digits the same script holds.

At fault: platform/headers.go, parsePrompt, skips parts whose id does not fit into 64 bits; poison then watches nothing.

--- a/review/standin3/main.go
+++ b/review/standin3/main.go
@@ -35,7 +35,9 @@
 var cases = map[string]reviewCase{
 	"crashing-content":         {gpFlotte, runCrashingContent},
 	"crashing-content-restart": {oasp, runCrashingContentRestart},
+	"deadly-part":              {oasp, runDeadlyPart},
 	"drill":                    {oasp, runDrill},
+	"joined":                   {oasp, runJoined},
 	"other-writer":             {oasp, runOtherWriter},
 	"pause":                    {oasp, runPause},
 }
