--- a/review/standin3/main.go
+++ b/review/standin3/main.go
@@ -37,8 +37,6 @@
 	"crashing-content-restart": {oasp, runCrashingContentRestart},
 	"deadly-part":              {oasp, runDeadlyPart},
 	"drill":                    {oasp, runDrill},
-	"encoded-path":             {oasp, runEncodedPath},
-	"joined":                   {oasp, runJoined},
 	"other-writer":             {oasp, runOtherWriter},
 	"pause":                    {oasp, runPause},
 }
--- a/review/standin3/parts.go
+++ b/review/standin3/parts.go
@@ -30,6 +30,7 @@
 	partEvents   = 8
 	partPause    = 20 * time.Millisecond
 	promptHeader = "Basilrail-Prefix-Hash"
+	sealHeader   = "Basilrail-Server-Seal"
 )
 
 // partID returns the id of a part: the number of its hexadecimal digits is that of a hash of 128 bits.
@@ -54,7 +55,7 @@
 	reached := make(map[string]time.Time)
 	handle := func(p *process, out http.ResponseWriter, r *http.Request, _ []byte) {
 		p.note(r, true)
-		out.Header().Set(feedSeal, "seal."+p.id)
+		out.Header().Set(sealHeader, "seal."+p.id)
 		out.Header().Set("Content-Type", "text/event-stream")
 		isDeadly := strings.Contains(r.Header.Get(promptHeader), deadly+":")
 		if isDeadly {
@@ -75,7 +76,7 @@
 		}
 		from, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
 		for n := from + 1; n <= partEvents; n++ {
-			if _, err := io.WriteString(out, feedEvent(p.id, n)); err != nil || http.NewResponseController(out).Flush() != nil {
+			if _, err := io.WriteString(out, fmt.Sprintf("id: %d\ndata: %s, line %d of %d\n\n", n, p.id, n, partEvents)); err != nil || http.NewResponseController(out).Flush() != nil {
 				return
 			}
 			time.Sleep(partPause)
