--- a/review/standin3/server.go
+++ b/review/standin3/server.go
@@ -108,6 +108,8 @@
 		switch {
 		case hasLeft:
 			return
+		case p.w.store.isAway():
+			// Nothing can be written, and no entry lapses.
 		case ctx.Err() == nil && !isCut:
 			missed = 0
 			p.w.store.put("servers", "", p.id, p.entry(sequence))
@@ -127,7 +129,7 @@
 // entry returns the entry of the process.
 func (p *process) entry(sequence int) map[string]any {
 	return map[string]any{
-		"service": p.service, "address": p.address, "zone": p.w.zone, "version": "v1", "slots": p.slots, "state": "ready",
+		"service": p.service, "address": p.address, "zone": zoneName, "version": "v1", "slots": p.slots, "state": "ready",
 		"cold_remaining_ms": 0, "sequence": sequence, "born": p.born.UnixMilli(),
 	}
 }
--- a/review/standin3/store.go
+++ b/review/standin3/store.go
@@ -54,6 +54,13 @@
 	s.wake()
 }
 
+// isAway reports whether the store refuses all calls.
+func (s *store) isAway() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.isDown
+}
+
 // wake ends the waits of the feeds. The caller holds the lock.
 func (s *store) wake() {
 	close(s.changed)
